frame: core types, checked JSON, configuration, store and directory adapters

Cause: nothing existed; every later part needs the folders, the strong types and one parse style. Change: vertical slices under include/, src/ and tests/; core ids, units, refusals; strict JSON with pointers in errors; declarations whose revision only rises; the etcd v3 JSON gateway and the directory as concepts with adapters; CMake functions for one library and one test program each. Conclusion: kept as the frame for the whole path.

--- /dev/null
+++ b/cmake/slices.cmake
@@ -0,0 +1,40 @@
+# One library for each duty, one test program for each library.
+
+# endivedock_slice(NAME [NET] SOURCES ... [DEPENDS ...])
+# NET marks a slice with I/O tasks: it sees Asio and Beast, compiled once in the net slice.
+function(endivedock_slice name)
+    cmake_parse_arguments(ARG "NET" "" "SOURCES;DEPENDS" ${ARGN})
+    add_library(endivedock_${name} STATIC ${ARG_SOURCES})
+    target_include_directories(endivedock_${name} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+    target_compile_options(endivedock_${name} PRIVATE -Wall -Wextra)
+    target_link_libraries(endivedock_${name} PUBLIC ${ARG_DEPENDS})
+    if(ARG_NET)
+        endivedock_use_net(endivedock_${name})
+    endif()
+endfunction()
+
+# Gives a target the separately compiled Asio and Beast and their precompiled header.
+function(endivedock_use_net target)
+    target_compile_definitions(${target} PUBLIC
+        BOOST_ASIO_SEPARATE_COMPILATION BOOST_BEAST_SEPARATE_COMPILATION
+        BOOST_ASIO_NO_DEPRECATED)
+    # g++ 12 takes the allocator of Asio's coroutine frames for a mismatched one.
+    target_compile_options(${target} PRIVATE -Wno-mismatched-new-delete)
+    target_link_libraries(${target} PUBLIC Threads::Threads)
+    if(ENDIVEDOCK_PCH)
+        target_precompile_headers(${target} PRIVATE ${PROJECT_SOURCE_DIR}/src/net/precompiled.h)
+    endif()
+endfunction()
+
+# endivedock_test(NAME SOURCES ... DEPENDS ...)
+function(endivedock_test name)
+    cmake_parse_arguments(ARG "NET" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name}_test ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/tests/main.cpp)
+    target_compile_options(${name}_test PRIVATE -Wall -Wextra)
+    target_link_libraries(${name}_test PRIVATE PkgConfig::CPPUNIT ${ARG_DEPENDS})
+    if(ARG_NET)
+        endivedock_use_net(${name}_test)
+    endif()
+    add_test(NAME ${name} COMMAND ${name}_test)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/include/endivedock/core/time.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "endivedock/core/units.h"
+
+#include <chrono>
+#include <concepts>
+
+namespace endivedock {
+
+/** Monotonic time. Decisions take it as an argument, so that tests can choose it. */
+using TimePoint = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+
+/** What I/O tasks use to read the time. */
+template <typename C>
+concept Clock = requires(const C &clock) {
+    {
+        clock.now()
+    } -> std::same_as<TimePoint>;
+};
+
+/** The machine's monotonic clock. */
+struct SteadyClock
+{
+    TimePoint now() const { return std::chrono::steady_clock::now(); }
+};
+
+/** A clock that moves only when told to. */
+class ManualClock
+{
+public:
+    TimePoint now() const { return m_now; }
+    void advance(Duration by) { m_now += by; }
+
+private:
+    TimePoint m_now{};
+};
+
+static_assert(Clock<SteadyClock> && Clock<ManualClock>);
+
+/** @return the whole milliseconds in @p duration, rounded down */
+constexpr Milliseconds toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration);
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/json.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "endivedock/core.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+namespace endivedock {
+
+/** A document that is not what was expected; names the document, the JSON pointer and the cause. */
+class JsonError : public Error
+{
+public:
+    JsonError(std::string document, std::string pointer, std::string expected);
+
+    const std::string &document() const { return m_document; }
+    const std::string &pointer() const { return m_pointer; }
+    const std::string &expected() const { return m_expected; }
+
+private:
+    std::string m_document;
+    std::string m_pointer;
+    std::string m_expected;
+};
+
+/** Bounds of an integer field, both included. */
+struct IntegerRange
+{
+    std::int64_t lowest;
+    std::int64_t highest;
+};
+
+/** Bounds of a fraction field, both included. */
+struct FractionRange
+{
+    double lowest;
+    double highest;
+};
+
+/**
+ * One value of a document, read strictly: unknown fields, wrong types and values out of range are
+ * errors. Holds a pointer into the document, which must outlive it.
+ */
+class JsonNode
+{
+public:
+    JsonNode(const boost::json::value &value, std::string document, std::string pointer = "");
+
+    /** @throws JsonError if this is no object or has a field that is not in @p fields */
+    void expectFields(std::initializer_list<std::string_view> fields) const;
+
+    bool has(std::string_view field) const;
+    /** @throws JsonError if the field is missing, as all accessors of required fields do */
+    JsonNode at(std::string_view field) const;
+    std::vector<JsonNode> list(std::string_view field) const;
+    /** @return the elements of @p field, or nothing if it is absent */
+    std::vector<JsonNode> listOrEmpty(std::string_view field) const;
+
+    std::string string(std::string_view field) const;
+    std::string stringOr(std::string_view field, std::string_view otherwise) const;
+    std::int64_t integer(std::string_view field, IntegerRange range) const;
+    std::int64_t integerOr(std::string_view field, IntegerRange range,
+                           std::int64_t otherwise) const;
+    double fractionOr(std::string_view field, FractionRange range, double otherwise) const;
+    bool booleanOr(std::string_view field, bool otherwise) const;
+
+    /** @return this value as a string; @throws JsonError if it is none */
+    std::string asString() const;
+    /** @return the names and values of this object; @throws JsonError if it is none */
+    std::vector<std::pair<std::string, JsonNode>> members() const;
+
+    /** @throws JsonError for this value */
+    [[noreturn]] void fail(const std::string &expected) const;
+
+private:
+    const boost::json::object &object() const;
+
+    const boost::json::value *m_value;
+    std::string m_document;
+    std::string m_pointer;
+};
+
+/**
+ * Parses JSON text.
+ *
+ * @param document  name of the text in errors
+ * @throws JsonError if the text is not one JSON value
+ */
+boost::json::value parseJson(std::string_view text, const std::string &document);
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/store/store_concept.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "endivedock/core.h"
+#include "endivedock/net.h"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endivedock {
+
+/** The store could not be reached, or its answer was lost: a write may have taken effect. */
+class StoreUnavailable : public Error
+{
+public:
+    using Error::Error;
+};
+
+/** The store answered with something that is not its protocol, or refused the call. */
+class StoreProtocolError : public Error
+{
+public:
+    using Error::Error;
+};
+
+using LeaseId = StrongId<struct LeaseTag, std::int64_t>;
+
+/** A key with its value and the revision of its last change. */
+struct StoreEntry
+{
+    std::string key;
+    std::string value;
+    Revision modified;
+};
+
+/** All keys of one prefix as of one revision. */
+struct StoreSnapshot
+{
+    Revision revision;
+    std::vector<StoreEntry> entries;
+};
+
+/** What a compare-and-swap found. */
+struct SwapResult
+{
+    bool swapped = false;
+    /** Revision of the store after the call. */
+    Revision revision;
+    /** The present entry where the swap lost; absent if the key does not exist. */
+    std::optional<StoreEntry> present;
+};
+
+/**
+ * What the product needs of the platform's service. Every call throws StoreUnavailable when no
+ * answer came; a write may then have taken effect and is settled by reading back.
+ *
+ *  - get(key)                      the entry, if it exists
+ *  - list(prefix)                  a consistent snapshot
+ *  - compareAndSwap(key, modified, value, lease)
+ *                                  writes if the key's last change is @p modified (0: absent)
+ *  - grantLease / keepAlive / revoke
+ *  - awaitChange(prefix, after, timeout)
+ *                                  true when a key under prefix changed after revision @p after
+ */
+template <typename S>
+concept Store =
+        requires(S store, std::string key, Revision revision, LeaseId lease, Milliseconds time) {
+            {
+                store.get(key)
+            } -> std::same_as<Task<std::optional<StoreEntry>>>;
+            {
+                store.list(key)
+            } -> std::same_as<Task<StoreSnapshot>>;
+            {
+                store.compareAndSwap(key, revision, key, lease)
+            } -> std::same_as<Task<SwapResult>>;
+            {
+                store.grantLease(time)
+            } -> std::same_as<Task<LeaseId>>;
+            {
+                store.keepAlive(lease)
+            } -> std::same_as<Task<bool>>;
+            {
+                store.revoke(lease)
+            } -> std::same_as<Task<>>;
+            {
+                store.awaitChange(key, revision, time)
+            } -> std::same_as<Task<bool>>;
+        };
+
+/** Stands for "no lease". */
+inline const LeaseId noLease{0};
+
+/**
+ * Writes @p value, and where the answer is lost finds out by reading back whether the write took
+ * effect; never writes twice.
+ *
+ * @return as compareAndSwap
+ * @throws StoreUnavailable if reading back fails as well
+ */
+template <Store S>
+Task<SwapResult> swapAndSettle(S &store, std::string key, Revision modified, std::string value)
+{
+    bool lost = false;
+    try {
+        co_return co_await store.compareAndSwap(key, modified, value, noLease);
+    } catch (const StoreUnavailable &) {
+        lost = true;
+    }
+    requireInvariant(lost, "only a lost answer is settled by reading back");
+    std::optional<StoreEntry> present = co_await store.get(key);
+    SwapResult result;
+    result.swapped = present && present->value == value && present->modified > modified;
+    result.revision = present ? present->modified : Revision(0);
+    result.present = std::move(present);
+    co_return result;
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/telemetry/metrics.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "endivedock/core/units.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace endivedock {
+
+/** Sorted label names and values of one time series. */
+using Labels = std::map<std::string, std::string>;
+
+/** Count, sum, and the quantiles 0.5, 0.9, 0.99 and 0.999 of durations since the start. */
+struct DistributionSummary
+{
+    std::uint64_t count = 0;
+    double sumSeconds = 0;
+    double p50Seconds = 0;
+    double p90Seconds = 0;
+    double p99Seconds = 0;
+    double p999Seconds = 0;
+};
+
+/**
+ * Counters, gauges and distributions of one process, written in the Prometheus text form. Not
+ * thread-safe: it belongs to the process's one I/O thread.
+ */
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+
+    /** Adds @p by to a counter, which is created at its first use. */
+    void count(std::string_view name, const Labels &labels = {}, std::uint64_t by = 1);
+    void setGauge(std::string_view name, const Labels &labels, double value);
+    void observe(std::string_view name, const Labels &labels, Microseconds duration);
+
+    /** @return a counter's value; 0 if it was never counted */
+    std::uint64_t counter(std::string_view name, const Labels &labels = {}) const;
+    DistributionSummary distribution(std::string_view name, const Labels &labels = {}) const;
+
+    /** @return all series in the Prometheus text form */
+    std::string text() const;
+
+private:
+    class Distribution;
+    template <typename T>
+    using Family = std::map<Labels, T>;
+
+    std::map<std::string, Family<std::uint64_t>, std::less<>> m_counters;
+    std::map<std::string, Family<double>, std::less<>> m_gauges;
+    std::map<std::string, Family<std::unique_ptr<Distribution>>, std::less<>> m_distributions;
+};
+
+} // namespace endivedock
--- /dev/null
+++ b/src/config/declarations.cpp
@@ -0,0 +1,284 @@
+#include "endivedock/config/declarations.h"
+
+#include "endivedock/config/keys.h"
+
+#include <algorithm>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace endivedock {
+
+namespace {
+
+constexpr IntegerRange slotRange{1, 1024};
+constexpr IntegerRange targetQueueRange{0, 64};
+constexpr IntegerRange connectionRange{1, 100'000};
+constexpr IntegerRange answerRange{1, 100'000};
+constexpr IntegerRange deadlineMsRange{1, 3'600'000};
+constexpr IntegerRange rolloutSecondsRange{1, 7 * 86'400};
+constexpr IntegerRange queueRange{0, 1'000'000};
+constexpr IntegerRange attemptRange{1, 10};
+constexpr IntegerRange priorityRange{0, 9};
+constexpr IntegerRange bodyBytesRange{0, std::int64_t{1} << 40};
+constexpr IntegerRange unixMsRange{0, std::int64_t{1} << 50};
+constexpr IntegerRange numberRange{1, std::int64_t{1} << 53};
+constexpr FractionRange retryShareRange{0.0, 1.0};
+constexpr FractionRange probeRateRange{0.0, 1000.0};
+
+/** Names become parts of keys and URLs, so their characters are restricted. */
+std::string parseName(const JsonNode &node, std::string_view field)
+{
+    const std::string name = node.string(field);
+    const auto allowed = [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '.'; };
+    if (!std::all_of(name.begin(), name.end(), allowed))
+        node.at(field).fail("a name of letters, digits, '-' and '.'");
+    return name;
+}
+
+RouteRule parseRoute(const JsonNode &node)
+{
+    node.expectFields({"method", "path", "idempotent", "keyRequired", "priority"});
+    RouteRule rule;
+    rule.method = node.stringOr("method", "");
+    rule.pathPrefix = node.string("path");
+    if (rule.pathPrefix.front() != '/')
+        node.at("path").fail("a path that starts with '/'");
+    rule.idempotent = node.booleanOr("idempotent", true);
+    rule.keyRequired = node.booleanOr("keyRequired", false);
+    rule.priority = static_cast<int>(node.integerOr("priority", priorityRange, 1));
+    return rule;
+}
+
+ServiceParameters parseService(const JsonNode &node, const TenantId &tenant)
+{
+    node.expectFields(
+            {"service", "template", "queueLimit", "deadlineMs", "rolloutDeadlineSeconds"});
+    ServiceParameters service;
+    service.id = ServiceId(tenant.value() + "/" + parseName(node, "service"));
+    service.templateId = TemplateId(parseName(node, "template"));
+    if (node.has("queueLimit"))
+        service.queueLimit = static_cast<int>(node.integer("queueLimit", queueRange));
+    if (node.has("deadlineMs"))
+        service.deadline = Milliseconds(node.integer("deadlineMs", deadlineMsRange));
+    service.rolloutDeadline =
+            Seconds(node.integerOr("rolloutDeadlineSeconds", rolloutSecondsRange, 600));
+    return service;
+}
+
+std::string_view stateName(MoveState state)
+{
+    switch (state) {
+    case MoveState::Running:
+        return "running";
+    case MoveState::Done:
+        return "done";
+    case MoveState::TakenBack:
+        return "taken-back";
+    }
+    return "running";
+}
+
+MoveState parseMoveState(const JsonNode &node)
+{
+    const std::string name = node.stringOr("state", "running");
+    for (const auto state : {MoveState::Running, MoveState::Done, MoveState::TakenBack}) {
+        if (name == stateName(state))
+            return state;
+    }
+    node.at("state").fail("running, done or taken-back");
+}
+
+Service resolve(const TenantParameters &tenant, const ServiceParameters &parameters,
+                const Declarations &declarations)
+{
+    const auto found = declarations.templates.find(parameters.templateId);
+    if (found == declarations.templates.end())
+        throw ConfigurationError("service " + parameters.id.value() + " names the template " +
+                                 parameters.templateId.value() + ", which is not declared");
+    Service service;
+    service.id = parameters.id;
+    service.tenant = tenant.tenant;
+    service.settings = found->second;
+    service.settings.queueLimit = parameters.queueLimit.value_or(service.settings.queueLimit);
+    service.settings.deadline = parameters.deadline.value_or(service.settings.deadline);
+    service.rolloutDeadline = parameters.rolloutDeadline;
+    return service;
+}
+
+void resolveServices(Declarations &declarations)
+{
+    for (const auto &[tenantId, tenant] : declarations.tenants) {
+        for (const auto &parameters : tenant.services) {
+            Service service = resolve(tenant, parameters, declarations);
+            if (!declarations.services.emplace(service.id, std::move(service)).second)
+                throw ConfigurationError("service " + parameters.id.value() + " is declared twice");
+        }
+    }
+}
+
+void applyZone(Declarations &declarations, const DeclarationKey &key, bool out)
+{
+    const auto tenant = declarations.tenants.find(TenantId(key.owner));
+    if (!out || tenant == declarations.tenants.end())
+        return;
+    for (const auto &service : tenant->second.services)
+        declarations.services.at(service.id).zonesOut.insert(ZoneId(key.name));
+}
+
+void applyMove(Declarations &declarations, VersionMove move)
+{
+    const auto service = declarations.services.find(move.service);
+    if (service != declarations.services.end())
+        service->second.move = std::move(move);
+}
+
+} // namespace
+
+RouteRule Service::ruleFor(std::string_view method, std::string_view path) const
+{
+    const RouteRule *best = nullptr;
+    for (const auto &rule : settings.routes) {
+        if (!rule.method.empty() && rule.method != method)
+            continue;
+        if (!path.starts_with(rule.pathPrefix))
+            continue;
+        if (best == nullptr || rule.pathPrefix.size() > best->pathPrefix.size())
+            best = &rule;
+    }
+    return best == nullptr ? RouteRule{} : *best;
+}
+
+const Service *Declarations::find(const ServiceId &id) const
+{
+    const auto found = services.find(id);
+    return found == services.end() ? nullptr : &found->second;
+}
+
+ServiceTemplate parseTemplate(const JsonNode &node)
+{
+    node.expectFields({"template", "slots", "targetQueue", "connections", "coldAllowance",
+                       "warmAfterAnswers", "deadlineMs", "queueLimit", "retryShare", "maxAttempts",
+                       "probesPerSecond", "probePath", "maxBodyBytes", "routes"});
+    ServiceTemplate result;
+    result.id = TemplateId(parseName(node, "template"));
+    result.slots = Slots(static_cast<int>(node.integer("slots", slotRange)));
+    result.targetQueue =
+            Slots(static_cast<int>(node.integerOr("targetQueue", targetQueueRange, 1)));
+    result.connections =
+            Connections(static_cast<int>(node.integerOr("connections", connectionRange, 200)));
+    result.coldAllowance =
+            Slots(static_cast<int>(node.integerOr("coldAllowance", {1, result.slots.value()}, 1)));
+    result.warmAfterAnswers = static_cast<int>(node.integerOr("warmAfterAnswers", answerRange, 20));
+    result.deadline = Milliseconds(node.integerOr("deadlineMs", deadlineMsRange, 5000));
+    result.queueLimit = static_cast<int>(node.integerOr("queueLimit", queueRange, 200));
+    result.retryShare = Share(node.fractionOr("retryShare", retryShareRange, 0.1));
+    result.maxAttempts = static_cast<int>(node.integerOr("maxAttempts", attemptRange, 3));
+    result.probeRate = PerSecond(node.fractionOr("probesPerSecond", probeRateRange, 0.5));
+    result.probePath = node.stringOr("probePath", "/health");
+    result.maxBody = Bytes(static_cast<std::uint64_t>(
+            node.integerOr("maxBodyBytes", bodyBytesRange, std::int64_t{256} << 20)));
+    for (const auto &route : node.listOrEmpty("routes"))
+        result.routes.push_back(parseRoute(route));
+    return result;
+}
+
+TenantParameters parseParameters(const JsonNode &node)
+{
+    node.expectFields({"tenant", "zones", "services"});
+    TenantParameters result;
+    result.tenant = TenantId(parseName(node, "tenant"));
+    for (const auto &zone : node.list("zones"))
+        result.zones.emplace_back(zone.asString());
+    for (const auto &service : node.list("services"))
+        result.services.push_back(parseService(service, result.tenant));
+    return result;
+}
+
+bool parseZoneOut(const JsonNode &node)
+{
+    node.expectFields({"state"});
+    const std::string state = node.string("state");
+    if (state != "in" && state != "out")
+        node.at("state").fail("in or out");
+    return state == "out";
+}
+
+VersionMove parseMove(const JsonNode &node)
+{
+    node.expectFields({"service", "number", "from", "to", "startedAtMs", "deadlineMs", "state"});
+    VersionMove move;
+    move.service = ServiceId(node.string("service"));
+    if (move.service.value().find('/') == std::string::npos)
+        node.at("service").fail("tenant/service");
+    move.number = static_cast<std::uint64_t>(node.integer("number", numberRange));
+    move.from = VersionId(parseName(node, "from"));
+    move.to = VersionId(parseName(node, "to"));
+    if (move.from == move.to)
+        node.at("to").fail("a version other than the one in from");
+    move.startedAt = node.integer("startedAtMs", unixMsRange);
+    move.deadline = Milliseconds(node.integer("deadlineMs", {1, 7 * 86'400'000}));
+    move.state = parseMoveState(node);
+    return move;
+}
+
+std::string formatMove(const VersionMove &move)
+{
+    boost::json::object object;
+    object["service"] = move.service.value();
+    object["number"] = move.number;
+    object["from"] = move.from.value();
+    object["to"] = move.to.value();
+    object["startedAtMs"] = move.startedAt;
+    object["deadlineMs"] = move.deadline.count();
+    object["state"] = stateName(move.state);
+    return boost::json::serialize(object);
+}
+
+std::string formatZone(bool out)
+{
+    boost::json::object object;
+    object["state"] = out ? "out" : "in";
+    return boost::json::serialize(object);
+}
+
+Declarations parseDeclarations(const ConfigurationCopy &copy)
+{
+    Declarations result;
+    result.revision = copy.revision;
+    std::vector<std::pair<DeclarationKey, bool>> zones;
+    std::vector<VersionMove> moves;
+    for (const auto &entry : copy.entries) {
+        const auto key = parseDeclarationKey(entry.key);
+        if (!key)
+            throw ConfigurationError("the key " + entry.key + " is not a declaration");
+        const boost::json::value value = parseJson(entry.value, entry.key);
+        const JsonNode node(value, entry.key);
+        switch (key->kind) {
+        case DeclarationKind::Template: {
+            ServiceTemplate parsed = parseTemplate(node);
+            result.templates[parsed.id] = std::move(parsed);
+            break;
+        }
+        case DeclarationKind::Parameters: {
+            TenantParameters parsed = parseParameters(node);
+            result.tenants[parsed.tenant] = std::move(parsed);
+            break;
+        }
+        case DeclarationKind::Zone:
+            zones.emplace_back(*key, parseZoneOut(node));
+            break;
+        case DeclarationKind::Move:
+            moves.push_back(parseMove(node));
+            break;
+        }
+    }
+    resolveServices(result);
+    for (const auto &[key, out] : zones)
+        applyZone(result, key, out);
+    for (auto &move : moves)
+        applyMove(result, std::move(move));
+    return result;
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/net/asio_impl.cpp
@@ -0,0 +1,2 @@
+// The one unit that compiles Asio itself.
+#include <boost/asio/impl/src.hpp>
--- /dev/null
+++ b/src/net/beast_impl.cpp
@@ -0,0 +1,2 @@
+// The one unit that compiles Beast itself.
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/store/base64.cpp
@@ -0,0 +1,45 @@
+#include "endivedock/store/etcd_store.h"
+
+#include <sodium.h>
+
+namespace endivedock {
+
+std::string encodeBase64(std::string_view text)
+{
+    // The length includes the terminating zero that sodium writes.
+    std::string result(sodium_base64_ENCODED_LEN(text.size(), sodium_base64_VARIANT_ORIGINAL),
+                       '\0');
+    sodium_bin2base64(result.data(), result.size(),
+                      reinterpret_cast<const unsigned char *>(text.data()), text.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    result.pop_back();
+    return result;
+}
+
+std::string decodeBase64(std::string_view text)
+{
+    std::string result(text.size(), '\0');
+    std::size_t length = 0;
+    const int outcome = sodium_base642bin(reinterpret_cast<unsigned char *>(result.data()),
+                                          result.size(), text.data(), text.size(), nullptr, &length,
+                                          nullptr, sodium_base64_VARIANT_ORIGINAL);
+    if (outcome != 0)
+        throw StoreProtocolError("the store sent a value that is not base64");
+    result.resize(length);
+    return result;
+}
+
+std::string prefixEnd(std::string prefix)
+{
+    while (!prefix.empty()) {
+        const auto last = static_cast<unsigned char>(prefix.back());
+        if (last < 0xff) {
+            prefix.back() = static_cast<char>(last + 1);
+            return prefix;
+        }
+        prefix.pop_back();
+    }
+    return std::string(1, '\0');
+}
+
+} // namespace endivedock
