--- /dev/null
+++ b/daemons/endivedockctl.cpp
@@ -0,0 +1,410 @@
+#include "endivedock/control.h"
+
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace {
+
+using namespace endivedock;
+
+// Exit codes; see docs/OPERATORS.md.
+constexpr int exitSuccess = 0;
+constexpr int exitFailure = 1;
+constexpr int exitInvalid = 2;
+constexpr int exitConflict = 3;
+constexpr int exitUnavailable = 4;
+constexpr int exitNotInForce = 5;
+
+constexpr Milliseconds storeTimeout{3000};
+constexpr Milliseconds pollInterval{100};
+
+struct Arguments
+{
+    std::vector<std::string> store{"127.0.0.1:2379"};
+    std::vector<std::string> admins;
+    std::string operatorName;
+    std::string command;
+    std::string first;
+    std::string second;
+    std::vector<std::string> files;
+    std::string from;
+    std::string to;
+    int deadlineSeconds = 0;
+    int waitSeconds = 0;
+    std::int64_t revision = 0;
+    bool dryRun = false;
+};
+
+/** One call of the command line: the store, and what the commands do with it. */
+class Command
+{
+public:
+    Command(asio::io_context &context, const Arguments &arguments)
+        : m_executor(context.get_executor())
+        , m_arguments(arguments)
+        , m_store(m_executor, addresses(arguments.store), storeTimeout)
+        , m_operator(m_store, {arguments.operatorName, arguments.command})
+    {
+    }
+
+    Task<int> put()
+    {
+        std::vector<Declaration> wanted{readDeclaration(m_arguments.first)};
+        co_return co_await applyAll(std::move(wanted));
+    }
+
+    Task<int> applyFolder() { co_return co_await applyAll(readDeclarations(m_arguments.first)); }
+
+    Task<int> check()
+    {
+        for (const auto &file : m_arguments.files) {
+            readDeclaration(file);
+            std::cout << file << ": valid\n";
+        }
+        co_return exitSuccess;
+    }
+
+    Task<int> get(std::string key)
+    {
+        const auto entry = co_await m_store.get(key);
+        if (!entry)
+            throw ChangeError(key + " is not declared");
+        std::cout << entry->value << "\n";
+        co_return exitSuccess;
+    }
+
+    Task<int> listTemplates()
+    {
+        const StoreSnapshot snapshot = co_await m_operator.declarations();
+        for (const auto &entry : snapshot.entries) {
+            const auto key = parseDeclarationKey(entry.key);
+            if (key && key->kind == DeclarationKind::Template)
+                std::cout << key->owner << "\n";
+        }
+        co_return exitSuccess;
+    }
+
+    Task<int> setZone(bool out)
+    {
+        const std::string key = zoneKey(TenantId(m_arguments.first), ZoneId(m_arguments.second));
+        std::vector<Declaration> wanted{{key, formatZone(out), m_arguments.command}};
+        co_return co_await applyAll(std::move(wanted));
+    }
+
+    Task<int> startMove()
+    {
+        std::optional<Milliseconds> deadline;
+        if (m_arguments.deadlineSeconds > 0)
+            deadline = Seconds(m_arguments.deadlineSeconds);
+        const Revision revision = co_await m_operator.startMove(
+                ServiceId(m_arguments.first), VersionId(m_arguments.from),
+                VersionId(m_arguments.to), deadline);
+        co_return co_await reportChange(revision);
+    }
+
+    Task<int> takeBackMove()
+    {
+        const Revision revision = co_await m_operator.takeBackMove(ServiceId(m_arguments.first));
+        co_return co_await reportChange(revision);
+    }
+
+    Task<int> moveStatus()
+    {
+        const std::string key = moveKey(ServiceId(m_arguments.first));
+        const auto entry = co_await m_store.get(key);
+        if (!entry)
+            throw ChangeError("there is no move of " + m_arguments.first);
+        std::cout << entry->value << "\n";
+        for (const auto &admin : m_arguments.admins) {
+            HttpClient client(m_executor, parseAddress(admin));
+            const HttpReply reply =
+                    co_await client.request("GET", "/moves", "", Milliseconds(2000));
+            std::cout << admin << " " << reply.body;
+        }
+        co_return exitSuccess;
+    }
+
+    Task<int> status()
+    {
+        Revision revision(m_arguments.revision);
+        if (revision == Revision(0))
+            revision = newestChange(co_await m_operator.declarations());
+        co_return co_await awaitInForce(revision);
+    }
+
+private:
+    static std::vector<Address> addresses(const std::vector<std::string> &texts)
+    {
+        std::vector<Address> result;
+        for (const auto &text : texts)
+            result.push_back(parseAddress(text));
+        return result;
+    }
+
+    static Revision newestChange(const StoreSnapshot &snapshot)
+    {
+        Revision newest(0);
+        for (const auto &entry : snapshot.entries)
+            newest = std::max(newest, entry.modified);
+        return newest;
+    }
+
+    Task<int> applyAll(std::vector<Declaration> wanted)
+    {
+        const StoreSnapshot present = co_await m_operator.declarations();
+        checkResult(present, wanted);
+        const auto changes = difference(present, wanted);
+        std::cout << formatDifference(changes);
+        if (changes.empty())
+            std::cout << "nothing to change\n";
+        if (m_arguments.dryRun || changes.empty())
+            co_return exitSuccess;
+        const Revision revision = co_await m_operator.apply(present, std::move(wanted));
+        co_return co_await reportChange(revision);
+    }
+
+    Task<int> reportChange(Revision revision)
+    {
+        std::cout << "accepted at revision " << revision << "\n";
+        if (m_arguments.waitSeconds == 0)
+            co_return exitSuccess;
+        co_return co_await awaitInForce(revision);
+    }
+
+    /** Asks the hosts in turn until one answers. */
+    Task<std::vector<FleetMember>> fleet()
+    {
+        std::string lastError = "no --admin was given";
+        for (const auto &admin : m_arguments.admins) {
+            try {
+                co_return co_await readFleet(m_executor, parseAddress(admin));
+            } catch (const HttpError &error) {
+                lastError = error.what();
+            }
+        }
+        throw HttpError("no entry host answered: " + lastError);
+    }
+
+    Task<int> awaitInForce(Revision revision)
+    {
+        const TimePoint until = SteadyClock().now() + Seconds(m_arguments.waitSeconds);
+        while (true) {
+            const auto members = co_await fleet();
+            const InForce judged = judgeInForce(members, revision);
+            const bool last = SteadyClock().now() >= until;
+            if (judged.everywhere() || last) {
+                printFleet(members, judged, revision);
+                co_return judged.everywhere() ? exitSuccess : exitNotInForce;
+            }
+            co_await sleepFor(pollInterval);
+        }
+    }
+
+    static void printFleet(const std::vector<FleetMember> &members, const InForce &judged,
+                           Revision revision)
+    {
+        for (const auto &member : members)
+            std::cout << "host " << member.host << " zone " << member.zone << " " << member.state
+                      << " revision " << member.revision << " heard " << member.age.count()
+                      << " ms ago\n";
+        std::cout << "revision " << revision << " is in force on " << judged.hostsInForce << " of "
+                  << judged.hosts << " hosts\n";
+    }
+
+    asio::any_io_executor m_executor;
+    const Arguments &m_arguments;
+    EtcdStore m_store;
+    OperatorStore m_operator;
+};
+
+using Action = std::function<Task<int>(Command &)>;
+
+int run(const Arguments &arguments, const Action &action)
+{
+    asio::io_context context(1);
+    Command command(context, arguments);
+    int code = exitFailure;
+    std::exception_ptr failure;
+    asio::co_spawn(context, action(command), [&](std::exception_ptr error, int result) {
+        failure = error;
+        code = result;
+    });
+    context.run();
+    if (failure)
+        std::rethrow_exception(failure);
+    return code;
+}
+
+int reportErrors(const Arguments &arguments, const Action &action)
+{
+    const auto complain = [](const std::exception &error, int code) {
+        std::cerr << "endivedockctl: " << error.what() << "\n";
+        return code;
+    };
+    try {
+        return run(arguments, action);
+    } catch (const ConflictError &error) {
+        return complain(error, exitConflict);
+    } catch (const StoreUnavailable &error) {
+        return complain(error, exitUnavailable);
+    } catch (const HttpError &error) {
+        return complain(error, exitUnavailable);
+    } catch (const ChangeError &error) {
+        return complain(error, exitInvalid);
+    } catch (const JsonError &error) {
+        return complain(error, exitInvalid);
+    } catch (const AddressError &error) {
+        return complain(error, exitInvalid);
+    } catch (const std::exception &error) {
+        return complain(error, exitFailure);
+    }
+}
+
+/** The commands and their arguments; the one that was given becomes the action. */
+class CommandLine
+{
+public:
+    CommandLine()
+    {
+        m_app.require_subcommand(1);
+        m_app.add_option("--store", m_arguments.store,
+                         "The platform's store, IP numbers and ports");
+        m_app.add_option("--admin", m_arguments.admins, "Admin ports of entry hosts");
+        m_app.add_option("--as", m_arguments.operatorName,
+                         "Your name, told to others in a conflict");
+        m_app.add_option("--wait", m_arguments.waitSeconds,
+                         "Wait up to so many seconds until the change is in force everywhere");
+        m_app.add_flag("--dry-run", m_arguments.dryRun, "Print the difference and change nothing");
+        addTemplates();
+        addParameters();
+        addZones();
+        addMoves();
+        addFiles();
+        auto *status = add(m_app, "status", "Tell whether the newest change is in force",
+                           [](Command &command) { return command.status(); });
+        status->add_option("--revision", m_arguments.revision, "Of this change instead");
+    }
+
+    int parseAndRun(int argc, char **argv)
+    {
+        const char *user = std::getenv("USER");
+        m_arguments.operatorName = user == nullptr ? "unknown" : user;
+        for (int i = 1; i < argc; ++i)
+            m_arguments.command += (i > 1 ? " " : "") + std::string(argv[i]);
+        try {
+            m_app.parse(argc, argv);
+        } catch (const CLI::ParseError &error) {
+            return m_app.exit(error) == 0 ? exitSuccess : exitInvalid;
+        }
+        return reportErrors(m_arguments, m_action);
+    }
+
+private:
+    CLI::App *add(CLI::App &parent, const std::string &name, const std::string &help, Action action)
+    {
+        CLI::App *command = parent.add_subcommand(name, help);
+        command->fallthrough();
+        command->callback([this, action] { m_action = action; });
+        return command;
+    }
+
+    CLI::App *group(const std::string &name, const std::string &help)
+    {
+        CLI::App *result = m_app.add_subcommand(name, help);
+        result->fallthrough();
+        result->require_subcommand(1);
+        return result;
+    }
+
+    void addTemplates()
+    {
+        CLI::App *templates = group("template", "Templates of kinds of services");
+        add(*templates, "put", "Write a template", [](Command &command) { return command.put(); })
+                ->add_option("file", m_arguments.first)
+                ->required();
+        add(*templates, "get", "Print a template",
+            [this](Command &command) {
+                return command.get(templateKey(TemplateId(m_arguments.first)));
+            })
+                ->add_option("name", m_arguments.first)
+                ->required();
+        add(*templates, "list", "Print the names of all templates",
+            [](Command &command) { return command.listTemplates(); });
+    }
+
+    void addParameters()
+    {
+        CLI::App *parameters = group("parameters", "Parameters of tenants");
+        add(*parameters, "set", "Write a tenant's parameters",
+            [](Command &command) { return command.put(); })
+                ->add_option("file", m_arguments.first)
+                ->required();
+        add(*parameters, "get", "Print a tenant's parameters",
+            [this](Command &command) {
+                return command.get(parametersKey(TenantId(m_arguments.first)));
+            })
+                ->add_option("tenant", m_arguments.first)
+                ->required();
+    }
+
+    void addZones()
+    {
+        CLI::App *zones = group("zone", "Availability zones of a tenant");
+        for (const bool out : {true, false}) {
+            CLI::App *command = add(*zones, out ? "out" : "in",
+                                    out ? "Give no new work to the zone" : "Use the zone again",
+                                    [out](Command &command) { return command.setZone(out); });
+            command->add_option("tenant", m_arguments.first)->required();
+            command->add_option("zone", m_arguments.second)->required();
+        }
+    }
+
+    void addMoves()
+    {
+        CLI::App *moves = group("move", "Moves from one version to another");
+        CLI::App *start = add(*moves, "start", "Start a move",
+                              [](Command &command) { return command.startMove(); });
+        start->add_option("service", m_arguments.first, "tenant/service")->required();
+        start->add_option("--from", m_arguments.from)->required();
+        start->add_option("--to", m_arguments.to)->required();
+        start->add_option("--deadline-seconds", m_arguments.deadlineSeconds);
+        add(*moves, "status", "Tell how far a move is",
+            [](Command &command) { return command.moveStatus(); })
+                ->add_option("service", m_arguments.first)
+                ->required();
+        add(*moves, "take-back", "Take a move back",
+            [](Command &command) { return command.takeBackMove(); })
+                ->add_option("service", m_arguments.first)
+                ->required();
+    }
+
+    void addFiles()
+    {
+        add(m_app, "check", "Check files without applying them",
+            [](Command &command) { return command.check(); })
+                ->add_option("files", m_arguments.files)
+                ->required();
+        add(m_app, "apply", "Apply all files of a folder",
+            [](Command &command) { return command.applyFolder(); })
+                ->add_option("folder", m_arguments.first)
+                ->required();
+    }
+
+    CLI::App m_app{"endivedockctl: the operators' command line of the endivedock load balancer"};
+    Arguments m_arguments;
+    Action m_action;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return CommandLine().parseAndRun(argc, argv);
+}
--- /dev/null
+++ b/include/endivedock/coldstart/warmth.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "endivedock/core.h"
+
+#include <optional>
+
+namespace endivedock {
+
+/** Why a target is taken for cold. */
+enum class ColdSign {
+    Listed,
+    NewIncarnation,
+    ConnectionRefused,
+    ConnectionLost,
+    LatencyStep,
+    ZoneReturned,
+    Takeover,
+};
+
+/** @return a stable name for metrics; static lifetime */
+const char *name(ColdSign sign);
+
+/**
+ * Whether one target is known to be warm. A target is cold until it has answered well often
+ * enough, and cold again at the first sign of a restart.
+ */
+class Warmth
+{
+public:
+    /** @param answersNeeded  good answers in a row that make a cold target warm; at least 1 */
+    explicit Warmth(int answersNeeded)
+        : m_answersNeeded(answersNeeded)
+        , m_answersLeft(answersNeeded)
+    {
+    }
+
+    bool cold() const { return m_answersLeft > 0; }
+    /** The incarnation that the target showed last; absent if it showed none. */
+    std::optional<Incarnation> incarnation() const { return m_incarnation; }
+
+    /** Takes a sign of coldness; the count starts anew. */
+    void chill(ColdSign sign, TimePoint now);
+    ColdSign lastSign() const { return m_lastSign; }
+
+    /**
+     * Takes an answer into account.
+     *
+     * @param seen       incarnation shown with the answer, if any
+     * @param startedAt  when the request was sent: answers to requests from before the last sign
+     *                   say nothing of the present state
+     * @return the sign, if the answer showed that the target is cold again
+     */
+    std::optional<ColdSign> answered(std::optional<Incarnation> seen, bool good, Microseconds time,
+                                     TimePoint startedAt, TimePoint now);
+
+    /** Takes over the knowledge of an earlier holder that @p incarnation was warm. */
+    void trustWarm(Incarnation incarnation);
+
+private:
+    bool isLatencyStep(Microseconds time);
+
+    int m_answersNeeded;
+    int m_answersLeft;
+    ColdSign m_lastSign = ColdSign::Listed;
+    std::optional<Incarnation> m_incarnation;
+    TimePoint m_coldSince{};
+    Microseconds m_usualTime{0};
+    int m_slowInRow = 0;
+};
+
+} // namespace endivedock
--- a/include/endivedock/config/declarations.h
+++ b/include/endivedock/config/declarations.h
@@ -103,7 +103,9 @@
     std::set<ZoneId> zonesOut;
     std::optional<VersionMove> move;
 
-    /** @return the rule with the longest matching prefix, or the default rule */
+    /** @return the position of the rule with the longest matching prefix, or nothing */
+    std::optional<std::size_t> ruleIndexFor(std::string_view method, std::string_view path) const;
+    /** @return that rule, or the default rule */
     RouteRule ruleFor(std::string_view method, std::string_view path) const;
 };
 
--- /dev/null
+++ b/include/endivedock/dispatch/placement_client.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "endivedock/dispatch/placement_host.h"
+#include "endivedock/dispatch/stopgap.h"
+#include "endivedock/gateway.h"
+#include "endivedock/net.h"
+#include "endivedock/telemetry.h"
+
+#include <concepts>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+
+namespace endivedock {
+
+/** What the client needs to know of hosts, and the way to them. */
+template <typename L>
+concept PlacementLink =
+        requires(L link, const ServiceId &service, HostId host, PlacementRequest request,
+                 AttemptReport report, PlacementCancel cancel) {
+            /** The host that places a service now; nothing where that is not known. */
+            {
+                link.holderOf(service)
+            } -> std::same_as<std::optional<HostId>>;
+            {
+                link.send(host, request)
+            } -> std::same_as<void>;
+            {
+                link.send(host, report)
+            } -> std::same_as<void>;
+            {
+                link.send(host, cancel)
+            } -> std::same_as<void>;
+            {
+                link.entryHosts()
+            } -> std::same_as<std::size_t>;
+        };
+
+/** Where a client finds the addresses behind targets and the rules of their service. */
+struct PlacementWorld
+{
+    HostId self;
+    const NewestConfiguration &configuration;
+    Metrics &metrics;
+    Random &random;
+};
+
+/**
+ * Gets placements for this host's requests: from its own placer where it places the service, else
+ * from the host that does. Messages may be lost, so requests and reports are repeated until they
+ * are answered. Where no placing host answers, the stopgap picks.
+ *
+ * @tparam Link  the way to the other hosts; outlives the client
+ */
+template <PlacementLink Link>
+class PlacementClient
+{
+public:
+    PlacementClient(asio::any_io_executor executor, PlacementWorld world, PlacementHost &local,
+                    Link &link);
+
+    // As PlacementSource requires.
+    Task<std::variant<PlacedTarget, Refusal>> place(const PlacementRequest &request,
+                                                    TimePoint deadline);
+    void abandon(const AttemptId &attempt);
+    void report(AttemptReport report);
+
+    /** Takes an answer, from this host's placer or from another host. */
+    void deliver(const PlacementAnswer &answer);
+    void deliver(const AttemptReportReceipt &receipt);
+    void setTargets(std::vector<ListedTarget> listed);
+    /** Repeats reports that were not confirmed; to be called every resendTime. */
+    void resendReports();
+    /** @return what this host has in flight for a service, for a new placing host */
+    InFlightList inFlight(const ServiceId &service) const;
+    std::size_t unconfirmedReports() const { return m_unconfirmed.size(); }
+
+    static constexpr Milliseconds resendTime{50};
+
+private:
+    struct Gone
+    {
+    };
+    using Outcome = std::variant<Placement, Refusal, Gone>;
+    struct Pending
+    {
+        explicit Pending(const asio::any_io_executor &executor)
+            : answer(executor)
+        {
+        }
+        OneShot<Outcome> answer;
+        ServiceId service;
+        std::optional<HostId> asked;
+        std::array<TimePoint, 256> sentAt{};
+    };
+    struct Running
+    {
+        PlacementRequest request;
+        Placement placement;
+        bool stopgap = false;
+        TimePoint deadline;
+    };
+    struct Unconfirmed
+    {
+        AttemptReport report;
+        int sendings = 0;
+    };
+
+    Task<Outcome> ask(const PlacementRequest &request, TimePoint deadline);
+    void sendRequest(PlacementRequest request, HostId holder);
+    void sendCancel(const Pending &pending, const AttemptId &attempt);
+    void sendReport(const AttemptReport &report);
+    std::variant<PlacedTarget, Refusal> use(const PlacementRequest &request,
+                                            const Placement &placement, TimePoint deadline,
+                                            bool stopgap);
+    std::variant<PlacedTarget, Refusal> useStopgap(const PlacementRequest &request,
+                                                   TimePoint deadline);
+    const ListedTarget *findTarget(const TargetId &id) const;
+
+    asio::any_io_executor m_executor;
+    PlacementWorld m_world;
+    PlacementHost &m_local;
+    Link &m_link;
+    Stopgap m_stopgap;
+    std::vector<ListedTarget> m_listed;
+    std::unordered_map<TargetId, std::size_t> m_listedIndex;
+    std::map<AttemptId, Pending *> m_pending;
+    std::map<AttemptId, Running> m_running;
+    std::map<AttemptId, Unconfirmed> m_unconfirmed;
+};
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/dispatch/stopgap.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "endivedock/config.h"
+#include "endivedock/core.h"
+#include "endivedock/directory/listing.h"
+#include "endivedock/placement/messages.h"
+#include "endivedock/routing.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace endivedock {
+
+/**
+ * Picks targets on this host's own while the host that places a service cannot be reached. Uses
+ * only targets that a placement has lately called warm, and few requests on each, since all hosts
+ * may be doing the same.
+ */
+class Stopgap
+{
+public:
+    /** Takes note of a placement from the placing host. */
+    void observed(const ServiceId &service, const TargetId &target, bool warm, TimePoint now);
+    /** Forgets a target that showed a sign of coldness or failure. */
+    void distrust(const TargetId &target);
+
+    /**
+     * @param listed  the platform's list
+     * @return a target to use, or nothing
+     */
+    std::optional<TargetId> pick(const Service &service, std::span<const ListedTarget> listed,
+                                 std::span<const TargetId> exclude, TimePoint now, Random &random);
+    void started(const TargetId &target);
+    void finished(const TargetId &target);
+
+private:
+    struct Known
+    {
+        TimePoint warmAt{};
+        Slots inFlight{0};
+    };
+
+    std::unordered_map<TargetId, Known> m_known;
+    LeastOutstanding m_policy;
+};
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/gateway/target_pool.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "endivedock/gateway/target_connection.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace endivedock {
+
+class TargetPool;
+
+/**
+ * A connection taken from a pool. Its destructor gives it back if its exchange is complete, and
+ * closes it otherwise, so that an abandoned answer never meets another caller.
+ */
+class PooledConnection
+{
+public:
+    PooledConnection(TargetPool &pool, Address target, std::unique_ptr<TargetConnection> connection)
+        : m_pool(&pool)
+        , m_target(std::move(target))
+        , m_connection(std::move(connection))
+    {
+    }
+    ~PooledConnection();
+    PooledConnection(PooledConnection &&) noexcept = default;
+    PooledConnection &operator=(PooledConnection &&) = delete;
+
+    TargetConnection &operator*() { return *m_connection; }
+    TargetConnection *operator->() { return m_connection.get(); }
+
+private:
+    TargetPool *m_pool;
+    Address m_target;
+    std::unique_ptr<TargetConnection> m_connection;
+};
+
+/**
+ * Idle connections of this host, by target. A target accepts a bounded count from all hosts
+ * together, so this host opens no more than its part.
+ */
+class TargetPool
+{
+public:
+    explicit TargetPool(asio::any_io_executor executor)
+        : m_executor(std::move(executor))
+    {
+    }
+
+    /**
+     * @param limit  connections that this host may have open to the target
+     * @throws TargetConnectError if none is idle and none can be opened by @p deadline
+     */
+    Task<PooledConnection> acquire(Address target, Connections limit, TimePoint deadline);
+
+    Connections open(const Address &target) const;
+
+private:
+    friend class PooledConnection;
+
+    struct Idle
+    {
+        std::unique_ptr<TargetConnection> connection;
+        TimePoint since;
+    };
+    struct Pool
+    {
+        std::vector<Idle> idle;
+        int open = 0;
+    };
+
+    std::unique_ptr<TargetConnection> takeIdle(Pool &pool);
+    void giveBack(const Address &target, std::unique_ptr<TargetConnection> connection);
+
+    asio::any_io_executor m_executor;
+    std::map<Address, Pool> m_pools;
+};
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/moves/evidence.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "endivedock/core.h"
+
+#include <cstddef>
+#include <map>
+
+namespace endivedock {
+
+/** Position of a route rule in its template; requests that match none have their own position. */
+using RouteIndex = Quantity<struct RouteIndexTag, int>;
+
+/** Which of the two versions of a move gave an answer. */
+enum class MoveSide { Old, New };
+
+/** Counts of answers; fractions, since older ones fade. */
+struct AnswerCounts
+{
+    double answers = 0;
+    double bad = 0;
+};
+
+/**
+ * Compares the answers of a new version with those of the old one, for each route, under the same
+ * load. An answer is bad if it failed or took several times the old version's usual time on that
+ * route. Counts since the start find a fault from the beginning; counts that fade within seconds
+ * find one that comes later.
+ */
+class MoveEvidence
+{
+public:
+    void answered(MoveSide side, RouteIndex route, bool failed, Microseconds time, TimePoint now);
+
+    /** @return whether the new version is worse on any route beyond reasonable doubt */
+    bool faultFound() const;
+    /** @return answers of the new version since resetStep() */
+    int newAnswersInStep() const { return m_newInStep; }
+    /** @return whether every route that the old version serves has been tried on the new one */
+    bool routesCovered() const;
+    void resetStep();
+
+private:
+    struct Route
+    {
+        double usualMicroseconds = 0;
+        AnswerCounts oldTotal;
+        AnswerCounts newTotal;
+        AnswerCounts oldRecent;
+        AnswerCounts newRecent;
+        int oldInStep = 0;
+        int newInStep = 0;
+        TimePoint fadedAt{};
+    };
+
+    static void fade(Route &route, TimePoint now);
+
+    std::map<RouteIndex, Route> m_routes;
+    int m_newInStep = 0;
+};
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/placement/placer-inl.h
@@ -0,0 +1,635 @@
+#pragma once
+
+#include "endivedock/placement/placer.h"
+
+#include <algorithm>
+
+namespace endivedock {
+
+namespace placement_detail {
+
+/** Waiting requests that are passed over for one behind them, when special rules keep them back. */
+constexpr int mostPassedOver = 8;
+
+inline PlacementAnswer refusal(const PlacementRequest &request, RefusalReason reason)
+{
+    return {request.attempt, request.service, request.sending,
+            Refusal{reason, RunCertainty::NotRun}};
+}
+
+} // namespace placement_detail
+
+template <PickPolicy Policy>
+BasicPlacer<Policy>::BasicPlacer(const Service &service, Random &random, PlacerSettings settings)
+    : m_id(service.id)
+    , m_random(random)
+    , m_settings(settings)
+    , m_template(service.settings)
+    , m_zonesOut(service.zonesOut)
+    , m_retryBudget(service.settings.retryShare)
+    , m_probes(service.settings.probeRate)
+{
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::configure(const Service &service, TimePoint now, std::int64_t wallMs)
+{
+    m_template = service.settings;
+    m_zonesOut = service.zonesOut;
+    m_retryBudget.setShare(m_template.retryShare);
+    m_probes.setRate(m_template.probeRate);
+    for (auto &target : m_targets)
+        target.adaptive.setMost(fullLimit());
+    applyZones(now);
+    applyMove(service, now, wallMs);
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::applyZones(TimePoint now)
+{
+    for (auto &target : m_targets) {
+        const bool out = m_zonesOut.contains(target.listed.zone);
+        if (target.zoneOut && !out) {
+            // What happened in the zone meanwhile is unknown; it warms up before it ramps up.
+            chill(target, ColdSign::ZoneReturned, now);
+            target.usableSince = now;
+        }
+        target.zoneOut = out;
+    }
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::applyMove(const Service &service, TimePoint now, std::int64_t wallMs)
+{
+    m_move = service.move;
+    if (!m_move) {
+        m_mover.reset();
+        return;
+    }
+    MoveProgress known{m_move->number, MovePhase::Canary, 0, TakeBackCause::None};
+    if (m_move->state == MoveState::Done)
+        known.phase = MovePhase::Done;
+    if (m_move->state == MoveState::TakenBack) {
+        known.phase = MovePhase::TakenBack;
+        known.cause = TakeBackCause::Operator;
+    }
+    if (m_mover && m_mover->progress().number == m_move->number) {
+        m_mover->merge(known);
+        return;
+    }
+    const TimePoint startedAt = now - Milliseconds(wallMs - m_move->startedAt);
+    m_mover.emplace(known, MoveTimes{startedAt, startedAt + m_move->deadline});
+}
+
+template <PickPolicy Policy>
+typename BasicPlacer<Policy>::Target &BasicPlacer<Policy>::targetFor(const ListedTarget &listed,
+                                                                     TimePoint now)
+{
+    const auto found = m_index.find(listed.id);
+    if (found != m_index.end())
+        return m_targets[found->second];
+    m_index.emplace(listed.id, m_targets.size());
+    m_targets.push_back(Target{.listed = listed,
+                               .warmth = Warmth(m_template.warmAfterAnswers),
+                               .health = TargetHealth(),
+                               .adaptive = AdaptiveLimit(fullLimit()),
+                               .zoneOut = m_zonesOut.contains(listed.zone),
+                               .usableSince = now - m_settings.ramp,
+                               .reported = std::nullopt});
+    return m_targets.back();
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::setTargets(std::span<const ListedTarget> listed, TimePoint now)
+{
+    for (auto &target : m_targets)
+        target.present = false;
+    for (const auto &entry : listed) {
+        if (entry.service != m_id)
+            continue;
+        Target &target = targetFor(entry, now);
+        const bool moved =
+                target.listed.address != entry.address || target.listed.version != entry.version;
+        const bool returned =
+                target.listed.state == ListedState::Leaving && entry.state == ListedState::Live;
+        if (moved || returned) {
+            chill(target, ColdSign::Listed, now);
+            target.seenDraining = false;
+        }
+        target.listed = entry;
+        target.zoneOut = m_zonesOut.contains(entry.zone);
+        target.present = true;
+    }
+}
+
+template <PickPolicy Policy>
+bool BasicPlacer<Policy>::usable(const Target &target) const
+{
+    return target.present && !target.zoneOut && !target.seenDraining &&
+           target.listed.state == ListedState::Live;
+}
+
+template <PickPolicy Policy>
+Slots BasicPlacer<Policy>::fullLimit() const
+{
+    return m_template.slots + m_template.targetQueue;
+}
+
+template <PickPolicy Policy>
+Slots BasicPlacer<Policy>::limitOf(const Target &target, TimePoint now) const
+{
+    if (!usable(target))
+        return Slots(0);
+    if (target.warmth.cold())
+        return now < m_coldFrom ? Slots(0) : m_template.coldAllowance;
+    const HealthState health = target.health.state(now);
+    if (health == HealthState::Ejected && mayEject())
+        return Slots(0);
+    if (health == HealthState::Probation)
+        return Slots(1);
+    const Duration sinceUsable = now - target.usableSince;
+    const Slots most = std::min(fullLimit(), target.adaptive.limit());
+    if (sinceUsable >= m_settings.ramp)
+        return most;
+    const double part = std::chrono::duration<double>(sinceUsable) /
+                        std::chrono::duration<double>(m_settings.ramp);
+    const int ramped = static_cast<int>(part * m_template.slots.value());
+    return std::min(most, Slots(std::max(m_template.coldAllowance.value(), ramped)));
+}
+
+template <PickPolicy Policy>
+bool BasicPlacer<Policy>::mayEject() const
+{
+    // If most targets look bad, the cause is elsewhere, and leaving them out would make it worse.
+    const auto bad =
+            std::count_if(m_targets.begin(), m_targets.end(), [this](const Target &target) {
+                return usable(target) && target.health.state(m_baselineAt) == HealthState::Ejected;
+            });
+    const auto all = std::count_if(m_targets.begin(), m_targets.end(),
+                                   [this](const Target &target) { return usable(target); });
+    return static_cast<double>(bad) <= static_cast<double>(all) * m_settings.mostEjected.value();
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::refreshBaseline(TimePoint now)
+{
+    if (now - m_baselineAt < m_settings.baselineAge)
+        return;
+    m_baselineAt = now;
+    std::vector<Microseconds> times;
+    for (const auto &target : m_targets) {
+        if (target.health.meanTime().count() > 0)
+            times.push_back(target.health.meanTime());
+    }
+    if (times.empty())
+        return;
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    m_baseline.medianTime = *middle;
+}
+
+template <PickPolicy Policy>
+std::optional<MoveSide> BasicPlacer<Policy>::sideOf(const Target &target) const
+{
+    if (!m_move)
+        return std::nullopt;
+    if (target.listed.version == m_move->to)
+        return MoveSide::New;
+    if (target.listed.version == m_move->from)
+        return MoveSide::Old;
+    return std::nullopt;
+}
+
+template <PickPolicy Policy>
+bool BasicPlacer<Policy>::allowedByMove(const Target &target, MoveSide wanted) const
+{
+    return !m_move || sideOf(target) == wanted;
+}
+
+template <PickPolicy Policy>
+std::optional<std::size_t> BasicPlacer<Policy>::pickOn(const PlacementRequest &request,
+                                                       MoveSide side, bool suspect, TimePoint now)
+{
+    m_views.clear();
+    m_candidates.clear();
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+        const Target &target = m_targets[i];
+        if (!usable(target) || !allowedByMove(target, side))
+            continue;
+        if (suspect && target.suspects > 0)
+            continue;
+        const auto &exclude = request.exclude;
+        if (std::find(exclude.begin(), exclude.end(), target.listed.id) != exclude.end())
+            continue;
+        const Slots limit = limitOf(target, now);
+        if (target.inFlight >= limit)
+            continue;
+        m_views.push_back({target.inFlight, limit, m_template.slots, target.health.meanTime(),
+                           target.reported, target.health.meanTime()});
+        m_candidates.push_back(i);
+    }
+    const auto chosen = m_policy.pick(m_views, m_random);
+    return chosen ? std::optional(m_candidates[*chosen]) : std::nullopt;
+}
+
+template <PickPolicy Policy>
+std::optional<std::size_t> BasicPlacer<Policy>::pick(const PlacementRequest &request, TimePoint now)
+{
+    const bool suspect = m_suspects.suspect(request.fingerprint, now);
+    const double share = newVersionShare().value();
+    const bool tryNew = m_move && drawUnit(m_random) < share;
+    if (!tryNew)
+        return pickOn(request, MoveSide::Old, suspect, now);
+    const auto chosen = pickOn(request, MoveSide::New, suspect, now);
+    // The old version takes what the new one has no room for; never the other way round.
+    const bool ended = m_mover && m_mover->progress().phase == MovePhase::Done;
+    return chosen || ended ? chosen : pickOn(request, MoveSide::Old, suspect, now);
+}
+
+template <PickPolicy Policy>
+Share BasicPlacer<Policy>::newVersionShare() const
+{
+    return m_mover ? m_mover->share() : Share(0);
+}
+
+template <PickPolicy Policy>
+Placement BasicPlacer<Policy>::grant(const PlacementRequest &request, std::size_t index,
+                                     TimePoint deadline, TimePoint now)
+{
+    Target &target = m_targets[index];
+    requireInvariant(target.inFlight < limitOf(target, now), "a grant exceeds its target's limit");
+    target.inFlight += Slots(1);
+    if (target.warmth.cold()) {
+        requireInvariant(target.inFlight <= m_template.coldAllowance,
+                         "a cold target has more than its allowance");
+        ++m_counters.grantedCold;
+    }
+    ++m_counters.granted;
+    const bool suspect = m_suspects.suspect(request.fingerprint, now);
+    target.suspects += suspect ? 1 : 0;
+    // Random, so that a grant of an earlier placing host is not taken for one of this host.
+    const GrantId id(m_random() | 1);
+    const TimePoint expires = deadline + m_settings.grantMargin;
+    m_grants.emplace(id, Grant{request.attempt, index, request.fingerprint, request.route, suspect,
+                               now, expires});
+    m_granted[request.attempt] = id;
+    m_expiries.emplace(expires, id);
+    return {id, target.listed.id, !target.warmth.cold()};
+}
+
+template <PickPolicy Policy>
+bool BasicPlacer<Policy>::anyUsable() const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [this](const Target &target) { return usable(target); });
+}
+
+template <PickPolicy Policy>
+Duration BasicPlacer<Policy>::expectedWait() const
+{
+    const auto places = static_cast<std::int64_t>(m_targets.size()) * m_template.slots.value();
+    if (places == 0)
+        return Duration::zero();
+    return m_baseline.medianTime * static_cast<std::int64_t>(m_waiting.size()) / places;
+}
+
+template <PickPolicy Policy>
+std::optional<Refusal> BasicPlacer<Policy>::refuseEarly(const PlacementRequest &request,
+                                                        TimePoint now)
+{
+    const auto notRun = [](RefusalReason reason) { return Refusal{reason, RunCertainty::NotRun}; };
+    if (m_suspects.convicted(request.fingerprint, now))
+        return notRun(RefusalReason::CrashSuspect);
+    if (!anyUsable())
+        return notRun(RefusalReason::NoTarget);
+    if (expectedWait() > request.remaining)
+        return notRun(RefusalReason::DeadlineExceeded);
+    if (!request.retry) {
+        m_retryBudget.countFirst(now);
+        return std::nullopt;
+    }
+    if (!m_retryBudget.tryRetry(now))
+        return notRun(RefusalReason::RetryBudget);
+    ++m_counters.retriesGranted;
+    return std::nullopt;
+}
+
+template <PickPolicy Policy>
+PlacementAnswers BasicPlacer<Policy>::request(const PlacementRequest &request, TimePoint now)
+{
+    PlacementAnswers answers;
+    const auto ticket = m_tickets.find(request.attempt);
+    if (ticket != m_tickets.end()) {
+        // Sent again while it waits; the answer will show that this sending was seen.
+        m_waiting.find(ticket->second)->request.sending = request.sending;
+        return answers;
+    }
+    const auto granted = m_granted.find(request.attempt);
+    if (granted != m_granted.end()) {
+        const Target &target = m_targets[m_grants.at(granted->second).target];
+        answers.push_back({request.attempt, m_id, request.sending,
+                           Placement{granted->second, target.listed.id, !target.warmth.cold()}});
+        return answers;
+    }
+    refreshBaseline(now);
+    if (const auto refusal = refuseEarly(request, now)) {
+        answers.push_back({request.attempt, m_id, request.sending, *refusal});
+        return answers;
+    }
+    const TimePoint deadline = now + request.remaining;
+    const auto chosen = m_waiting.empty() ? pick(request, now) : std::nullopt;
+    if (chosen) {
+        answers.push_back(
+                {request.attempt, m_id, request.sending, grant(request, *chosen, deadline, now)});
+        return answers;
+    }
+    enqueue(request, deadline, answers);
+    dispatch(now, answers);
+    return answers;
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::enqueue(const PlacementRequest &request, TimePoint deadline,
+                                  PlacementAnswers &answers)
+{
+    auto admission = m_waiting.add(Waiting{request, deadline}, request.priority, deadline,
+                                   static_cast<std::size_t>(m_template.queueLimit));
+    if (admission.evicted) {
+        ++m_counters.evicted;
+        m_tickets.erase(admission.evicted->request.attempt);
+        answers.push_back(
+                placement_detail::refusal(admission.evicted->request, RefusalReason::QueueFull));
+    }
+    if (!admission.ticket) {
+        answers.push_back(placement_detail::refusal(request, RefusalReason::QueueFull));
+        return;
+    }
+    ++m_counters.queued;
+    m_tickets[request.attempt] = *admission.ticket;
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::dispatch(TimePoint now, PlacementAnswers &answers)
+{
+    m_waiting.serve(placement_detail::mostPassedOver, [&](const Waiting &waiting) {
+        const auto chosen = pick(waiting.request, now);
+        if (!chosen)
+            return false;
+        m_tickets.erase(waiting.request.attempt);
+        answers.push_back({waiting.request.attempt, m_id, waiting.request.sending,
+                           grant(waiting.request, *chosen, waiting.deadline, now)});
+        return true;
+    });
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::dropOverdue(TimePoint now, PlacementAnswers &answers)
+{
+    while (auto waiting = m_waiting.takeOverdue(now)) {
+        ++m_counters.overdue;
+        m_tickets.erase(waiting->request.attempt);
+        answers.push_back(
+                placement_detail::refusal(waiting->request, RefusalReason::DeadlineExceeded));
+    }
+}
+
+template <PickPolicy Policy>
+std::optional<typename BasicPlacer<Policy>::Grant> BasicPlacer<Policy>::removeGrant(GrantId id)
+{
+    const auto found = m_grants.find(id);
+    if (found == m_grants.end())
+        return std::nullopt;
+    const Grant grant = found->second;
+    Target &target = m_targets[grant.target];
+    target.inFlight -= Slots(1);
+    requireInvariant(target.inFlight >= Slots(0), "a target's count of requests fell below zero");
+    target.suspects -= grant.suspect ? 1 : 0;
+    m_granted.erase(grant.attempt);
+    m_grants.erase(found);
+    return grant;
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::expireGrants(TimePoint now)
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        const GrantId id = m_expiries.begin()->second;
+        m_expiries.erase(m_expiries.begin());
+        if (removeGrant(id))
+            ++m_counters.expiredGrants;
+    }
+}
+
+template <PickPolicy Policy>
+PlacementAnswers BasicPlacer<Policy>::finish(const AttemptReport &report, TimePoint now)
+{
+    PlacementAnswers answers;
+    const auto grant = removeGrant(report.grant);
+    if (!grant)
+        return answers; // Reported twice, or expired.
+    refreshBaseline(now);
+    takeReport(*grant, report, now);
+    dropOverdue(now, answers);
+    dispatch(now, answers);
+    return answers;
+}
+
+template <PickPolicy Policy>
+PlacementAnswers BasicPlacer<Policy>::cancel(const AttemptId &attempt, TimePoint now)
+{
+    PlacementAnswers answers;
+    const auto ticket = m_tickets.find(attempt);
+    if (ticket != m_tickets.end()) {
+        m_waiting.remove(ticket->second);
+        m_tickets.erase(ticket);
+    }
+    const auto granted = m_granted.find(attempt);
+    if (granted == m_granted.end())
+        return answers;
+    removeGrant(granted->second);
+    dispatch(now, answers);
+    return answers;
+}
+
+template <PickPolicy Policy>
+PlacementAnswers BasicPlacer<Policy>::tick(TimePoint now)
+{
+    PlacementAnswers answers;
+    expireGrants(now);
+    refreshBaseline(now);
+    dropOverdue(now, answers);
+    if (m_mover)
+        m_mover->tick(now);
+    dispatch(now, answers);
+    return answers;
+}
+
+template <PickPolicy Policy>
+PlacementAnswers BasicPlacer<Policy>::refuseWaiting(RefusalReason reason)
+{
+    PlacementAnswers answers;
+    while (auto waiting = m_waiting.takeOverdue(TimePoint::max()))
+        answers.push_back(placement_detail::refusal(waiting->request, reason));
+    m_tickets.clear();
+    return answers;
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::chill(Target &target, ColdSign sign, TimePoint now)
+{
+    target.warmth.chill(sign, now);
+    ++m_counters.chills;
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::noteCrash(const Grant &grant, TimePoint now)
+{
+    Target &target = m_targets[grant.target];
+    chill(target, ColdSign::ConnectionLost, now);
+    m_suspects.crashed(grant.fingerprint, target.listed.id, now);
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::takeReport(const Grant &grant, const AttemptReport &report, TimePoint now)
+{
+    Target &target = m_targets[grant.target];
+    target.reported = report.reportedInFlight;
+    m_probes.observed(target.listed.id, now);
+    bool failed = false;
+    switch (report.outcome) {
+    case AttemptOutcome::Answered:
+        m_suspects.answered(grant.fingerprint, now);
+        target.adaptive.answered();
+        break;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::TimedOut:
+        failed = true;
+        break;
+    case AttemptOutcome::Shed:
+        target.adaptive.shed(target.inFlight);
+        return;
+    case AttemptOutcome::Draining:
+        target.seenDraining = true;
+        return;
+    case AttemptOutcome::ConnectFailed:
+        chill(target, ColdSign::ConnectionRefused, now);
+        failed = true;
+        break;
+    case AttemptOutcome::ConnectionLost:
+        noteCrash(grant, now);
+        failed = true;
+        break;
+    case AttemptOutcome::Abandoned:
+        return;
+    }
+    if (target.warmth.answered(report.incarnation, !failed, report.time, grant.startedAt, now))
+        ++m_counters.chills;
+    const double failure = failed ? 1.0 : 0.0;
+    constexpr double weight = 0.02;
+    m_baseline.failed += Share((failure - m_baseline.failed.value()) * weight);
+    if (target.health.answered(now, report.time, failed, m_baseline))
+        ++m_counters.ejections;
+    const auto side = sideOf(target);
+    if (m_mover && side)
+        m_mover->answered(*side, RouteIndex(grant.route), failed, report.time, now);
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::adopt(const InFlightList &list, TimePoint now)
+{
+    for (const auto &attempt : list.attempts) {
+        const auto index = m_index.find(attempt.target);
+        if (index == m_index.end() || m_grants.contains(attempt.grant))
+            continue;
+        m_targets[index->second].inFlight += Slots(1);
+        const TimePoint expires = now + attempt.remaining + m_settings.grantMargin;
+        m_grants.emplace(attempt.grant, Grant{attempt.attempt, index->second, attempt.fingerprint,
+                                              attempt.route, false, now, expires});
+        m_granted[attempt.attempt] = attempt.grant;
+        m_expiries.emplace(expires, attempt.grant);
+    }
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::trustWarm(std::span<const WarmTarget> targets)
+{
+    for (const auto &warm : targets) {
+        const auto index = m_index.find(warm.target);
+        if (index != m_index.end())
+            m_targets[index->second].warmth.trustWarm(warm.incarnation);
+    }
+}
+
+template <PickPolicy Policy>
+std::vector<WarmTarget> BasicPlacer<Policy>::warmTargets() const
+{
+    std::vector<WarmTarget> result;
+    for (const auto &target : m_targets) {
+        if (!target.warmth.cold() && target.warmth.incarnation())
+            result.push_back({target.listed.id, *target.warmth.incarnation()});
+    }
+    return result;
+}
+
+template <PickPolicy Policy>
+std::vector<ProbeOrder> BasicPlacer<Policy>::dueProbes(TimePoint now)
+{
+    std::vector<ProbeOrder> orders;
+    for (const auto &target : m_targets) {
+        if (!target.present || target.zoneOut || limitOf(target, now) <= target.inFlight)
+            continue;
+        if (!m_probes.takeProbe(target.listed.id, now))
+            continue;
+        ++m_counters.probes;
+        orders.push_back({target.listed.id, target.listed.address, m_template.probePath});
+    }
+    return orders;
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::probed(const TargetId &id, std::optional<Incarnation> incarnation,
+                                 bool draining, TimePoint now)
+{
+    const auto index = m_index.find(id);
+    if (index == m_index.end())
+        return;
+    Target &target = m_targets[index->second];
+    if (!incarnation) {
+        chill(target, ColdSign::ConnectionRefused, now);
+        return;
+    }
+    target.seenDraining = draining;
+    // A probe is too light to show warmth; it can only show a new life.
+    if (target.warmth.answered(incarnation, false, Microseconds(0), now, now))
+        ++m_counters.chills;
+}
+
+template <PickPolicy Policy>
+std::optional<MoveProgress> BasicPlacer<Policy>::moveProgress() const
+{
+    return m_mover ? std::optional(m_mover->progress()) : std::nullopt;
+}
+
+template <PickPolicy Policy>
+void BasicPlacer<Policy>::mergeMove(const MoveProgress &progress)
+{
+    if (m_mover)
+        m_mover->merge(progress);
+}
+
+template <PickPolicy Policy>
+std::vector<TargetStatus> BasicPlacer<Policy>::targets(TimePoint now) const
+{
+    std::vector<TargetStatus> result;
+    for (const auto &target : m_targets) {
+        if (!target.present)
+            continue;
+        const bool leaving = target.seenDraining || target.listed.state == ListedState::Leaving;
+        result.push_back({target.listed.id, target.listed.zone, target.listed.version,
+                          target.inFlight, limitOf(target, now), target.warmth.cold(), leaving,
+                          target.health.state(now) == HealthState::Ejected});
+    }
+    return result;
+}
+
+} // namespace endivedock
--- a/include/endivedock/store/etcd_store.h
+++ b/include/endivedock/store/etcd_store.h
@@ -18,8 +18,7 @@
 
     Task<std::optional<StoreEntry>> get(std::string key);
     Task<StoreSnapshot> list(std::string prefix);
-    Task<SwapResult> compareAndSwap(std::string key, Revision modified, std::string value,
-                                    LeaseId lease);
+    Task<SwapResult> compareAndSwap(std::vector<Swap> swaps, LeaseId lease);
     Task<LeaseId> grantLease(Milliseconds term);
     Task<bool> keepAlive(LeaseId lease);
     Task<> revoke(LeaseId lease);
--- a/include/endivedock/store/store_concept.h
+++ b/include/endivedock/store/store_concept.h
@@ -42,6 +42,15 @@
     std::vector<StoreEntry> entries;
 };
 
+/** One key of a compare-and-swap. */
+struct Swap
+{
+    std::string key;
+    /** The key's last change that the writer knows; 0 if it must not exist. */
+    Revision modified;
+    std::string value;
+};
+
 /** What a compare-and-swap found. */
 struct SwapResult
 {
@@ -58,61 +67,62 @@
  *
  *  - get(key)                      the entry, if it exists
  *  - list(prefix)                  a consistent snapshot
- *  - compareAndSwap(key, modified, value, lease)
- *                                  writes if the key's last change is @p modified (0: absent)
+ *  - compareAndSwap(swaps, lease)  writes all or none; none if any key has changed meanwhile
  *  - grantLease / keepAlive / revoke
  *  - awaitChange(prefix, after, timeout)
  *                                  true when a key under prefix changed after revision @p after
  */
 template <typename S>
-concept Store =
-        requires(S store, std::string key, Revision revision, LeaseId lease, Milliseconds time) {
-            {
-                store.get(key)
-            } -> std::same_as<Task<std::optional<StoreEntry>>>;
-            {
-                store.list(key)
-            } -> std::same_as<Task<StoreSnapshot>>;
-            {
-                store.compareAndSwap(key, revision, key, lease)
-            } -> std::same_as<Task<SwapResult>>;
-            {
-                store.grantLease(time)
-            } -> std::same_as<Task<LeaseId>>;
-            {
-                store.keepAlive(lease)
-            } -> std::same_as<Task<bool>>;
-            {
-                store.revoke(lease)
-            } -> std::same_as<Task<>>;
-            {
-                store.awaitChange(key, revision, time)
-            } -> std::same_as<Task<bool>>;
-        };
+concept Store = requires(S store, std::string key, std::vector<Swap> swaps, Revision revision,
+                         LeaseId lease, Milliseconds time) {
+    {
+        store.get(key)
+    } -> std::same_as<Task<std::optional<StoreEntry>>>;
+    {
+        store.list(key)
+    } -> std::same_as<Task<StoreSnapshot>>;
+    {
+        store.compareAndSwap(swaps, lease)
+    } -> std::same_as<Task<SwapResult>>;
+    {
+        store.grantLease(time)
+    } -> std::same_as<Task<LeaseId>>;
+    {
+        store.keepAlive(lease)
+    } -> std::same_as<Task<bool>>;
+    {
+        store.revoke(lease)
+    } -> std::same_as<Task<>>;
+    {
+        store.awaitChange(key, revision, time)
+    } -> std::same_as<Task<bool>>;
+};
 
 /** Stands for "no lease". */
 inline const LeaseId noLease{0};
 
 /**
- * Writes @p value, and where the answer is lost finds out by reading back whether the write took
- * effect; never writes twice.
+ * Writes, and where the answer is lost finds out by reading back whether the write took effect;
+ * never writes twice.
  *
  * @return as compareAndSwap
  * @throws StoreUnavailable if reading back fails as well
  */
 template <Store S>
-Task<SwapResult> swapAndSettle(S &store, std::string key, Revision modified, std::string value)
+Task<SwapResult> swapAndSettle(S &store, std::vector<Swap> swaps)
 {
     bool lost = false;
     try {
-        co_return co_await store.compareAndSwap(key, modified, value, noLease);
+        co_return co_await store.compareAndSwap(swaps, noLease);
     } catch (const StoreUnavailable &) {
         lost = true;
     }
     requireInvariant(lost, "only a lost answer is settled by reading back");
-    std::optional<StoreEntry> present = co_await store.get(key);
+    // The write is atomic, so one key tells of all.
+    const Swap &first = swaps.front();
+    std::optional<StoreEntry> present = co_await store.get(first.key);
     SwapResult result;
-    result.swapped = present && present->value == value && present->modified > modified;
+    result.swapped = present && present->value == first.value && present->modified > first.modified;
     result.revision = present ? present->modified : Revision(0);
     result.present = std::move(present);
     co_return result;
--- /dev/null
+++ b/scripts/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds, starts stand-ins and four entry hosts on loopback, applies the examples, sends mixed load
+# for ten seconds and prints the result. --keep leaves everything running until Ctrl-C.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh
+exec python3 scripts/fleet.py "$@"
--- /dev/null
+++ b/src/coldstart/warmth.cpp
@@ -0,0 +1,89 @@
+#include "endivedock/coldstart/warmth.h"
+
+namespace endivedock {
+
+namespace {
+
+/** An answer this many times slower than usual may mean a cold target. */
+constexpr int stepFactor = 5;
+/** That many such answers in a row do mean one. */
+constexpr int stepAnswers = 4;
+/** Weight of the newest answer in the usual time, as one part of so many. */
+constexpr int usualTimeParts = 20;
+
+} // namespace
+
+const char *name(ColdSign sign)
+{
+    switch (sign) {
+    case ColdSign::Listed:
+        return "listed";
+    case ColdSign::NewIncarnation:
+        return "new-incarnation";
+    case ColdSign::ConnectionRefused:
+        return "connection-refused";
+    case ColdSign::ConnectionLost:
+        return "connection-lost";
+    case ColdSign::LatencyStep:
+        return "latency-step";
+    case ColdSign::ZoneReturned:
+        return "zone-returned";
+    case ColdSign::Takeover:
+        return "takeover";
+    }
+    return "unknown";
+}
+
+void Warmth::chill(ColdSign sign, TimePoint now)
+{
+    m_coldSince = now;
+    m_answersLeft = m_answersNeeded;
+    m_lastSign = sign;
+    m_slowInRow = 0;
+    m_usualTime = Microseconds(0);
+}
+
+bool Warmth::isLatencyStep(Microseconds time)
+{
+    const bool slow = m_usualTime.count() > 0 && time > m_usualTime * stepFactor;
+    m_slowInRow = slow ? m_slowInRow + 1 : 0;
+    if (m_usualTime.count() == 0)
+        m_usualTime = time;
+    else if (!slow)
+        m_usualTime += (time - m_usualTime) / usualTimeParts;
+    return m_slowInRow >= stepAnswers;
+}
+
+std::optional<ColdSign> Warmth::answered(std::optional<Incarnation> seen, bool good,
+                                         Microseconds time, TimePoint startedAt, TimePoint now)
+{
+    if (seen && m_incarnation && *seen < *m_incarnation)
+        return std::nullopt; // A late answer of the life before.
+    if (seen && m_incarnation && *seen > *m_incarnation) {
+        m_incarnation = seen;
+        chill(ColdSign::NewIncarnation, now);
+        return ColdSign::NewIncarnation;
+    }
+    if (seen)
+        m_incarnation = seen;
+    if (!good || startedAt < m_coldSince)
+        return std::nullopt;
+    if (cold()) {
+        --m_answersLeft;
+        return std::nullopt;
+    }
+    if (!isLatencyStep(time))
+        return std::nullopt;
+    chill(ColdSign::LatencyStep, now);
+    return ColdSign::LatencyStep;
+}
+
+void Warmth::trustWarm(Incarnation incarnation)
+{
+    if (m_incarnation && *m_incarnation != incarnation)
+        return;
+    m_incarnation = incarnation;
+    m_answersLeft = 0;
+}
+
+} // namespace endivedock
--- a/src/config/declarations.cpp
+++ b/src/config/declarations.cpp
@@ -135,18 +135,27 @@
 
 } // namespace
 
-RouteRule Service::ruleFor(std::string_view method, std::string_view path) const
+std::optional<std::size_t> Service::ruleIndexFor(std::string_view method,
+                                                 std::string_view path) const
 {
-    const RouteRule *best = nullptr;
-    for (const auto &rule : settings.routes) {
+    std::optional<std::size_t> best;
+    std::size_t longest = 0;
+    for (std::size_t i = 0; i < settings.routes.size(); ++i) {
+        const RouteRule &rule = settings.routes[i];
         if (!rule.method.empty() && rule.method != method)
             continue;
-        if (!path.starts_with(rule.pathPrefix))
+        if (!path.starts_with(rule.pathPrefix) || rule.pathPrefix.size() <= longest)
             continue;
-        if (best == nullptr || rule.pathPrefix.size() > best->pathPrefix.size())
-            best = &rule;
+        best = i;
+        longest = rule.pathPrefix.size();
     }
-    return best == nullptr ? RouteRule{} : *best;
+    return best;
+}
+
+RouteRule Service::ruleFor(std::string_view method, std::string_view path) const
+{
+    const auto index = ruleIndexFor(method, path);
+    return index ? settings.routes[*index] : RouteRule{};
 }
 
 const Service *Declarations::find(const ServiceId &id) const
--- /dev/null
+++ b/src/control/fleet.cpp
@@ -0,0 +1,52 @@
+#include "endivedock/control/fleet.h"
+
+#include "endivedock/json.h"
+
+namespace endivedock {
+
+namespace {
+
+constexpr Milliseconds readTimeout{2000};
+constexpr IntegerRange anyNumber{0, INT64_MAX};
+
+FleetMember parseMember(const JsonNode &node)
+{
+    FleetMember member;
+    member.host = HostId(static_cast<std::uint32_t>(node.integer("host", {1, 0xffff'ffff})));
+    member.zone = node.string("zone");
+    member.state = node.string("state");
+    member.revision = Revision(node.integer("revision", anyNumber));
+    member.age = Milliseconds(node.integer("ageMs", anyNumber));
+    return member;
+}
+
+} // namespace
+
+Task<std::vector<FleetMember>> readFleet(asio::any_io_executor executor, Address admin)
+{
+    HttpClient client(executor, admin);
+    const HttpReply reply = co_await client.request("GET", "/fleet", "", readTimeout);
+    const std::string document = formatAddress(admin) + "/fleet";
+    const auto value = parseJson(reply.body, document);
+    std::vector<FleetMember> fleet;
+    for (const auto &node : JsonNode(value, document).list("hosts"))
+        fleet.push_back(parseMember(node));
+    co_return fleet;
+}
+
+InForce judgeInForce(const std::vector<FleetMember> &fleet, Revision revision)
+{
+    InForce result;
+    for (const auto &member : fleet) {
+        if (member.state == "dead")
+            continue;
+        ++result.hosts;
+        if (member.revision >= revision)
+            ++result.hostsInForce;
+        else
+            result.missing.push_back(member.host);
+    }
+    return result;
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/control/operator_store.cpp
@@ -0,0 +1,143 @@
+#include "endivedock/control/operator_store.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace endivedock {
+
+namespace {
+
+constexpr std::string_view authorPrefix = "/endivedock/authors";
+constexpr std::uint64_t largestMoveNumber = 1ull << 52;
+
+std::string authorKey(const std::string &key)
+{
+    return std::string(authorPrefix) + key;
+}
+
+std::int64_t wallMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Milliseconds>(now).count();
+}
+
+std::string formatAuthor(const Author &author)
+{
+    boost::json::object object;
+    object["operator"] = author.operatorName;
+    object["command"] = author.command;
+    object["atMs"] = wallMilliseconds();
+    return boost::json::serialize(object);
+}
+
+Revision modifiedOf(const StoreSnapshot &snapshot, const std::string &key)
+{
+    for (const auto &entry : snapshot.entries) {
+        if (entry.key == key)
+            return entry.modified;
+    }
+    return Revision(0);
+}
+
+std::optional<VersionMove> findMove(const StoreSnapshot &snapshot, const ServiceId &service)
+{
+    for (const auto &entry : snapshot.entries) {
+        if (entry.key != moveKey(service))
+            continue;
+        const auto value = parseJson(entry.value, entry.key);
+        return parseMove(JsonNode(value, entry.key));
+    }
+    return std::nullopt;
+}
+
+Declarations parsed(const StoreSnapshot &snapshot)
+{
+    ConfigurationCopy copy{snapshot.revision, {}};
+    for (const auto &entry : snapshot.entries)
+        copy.entries.push_back({entry.key, entry.value});
+    return parseDeclarations(copy);
+}
+
+} // namespace
+
+Task<StoreSnapshot> OperatorStore::declarations()
+{
+    co_return co_await m_store.list(std::string(declarationPrefix));
+}
+
+Task<std::string> OperatorStore::describeConflict(StoreEntry present)
+{
+    std::string text =
+            present.key + " was changed at revision " + std::to_string(present.modified.value());
+    const auto author = co_await m_store.get(authorKey(present.key));
+    if (author) {
+        const auto value = parseJson(author->value, author->key);
+        const JsonNode node(value, author->key);
+        text += " by " + node.stringOr("operator", "unknown") + " (" +
+                node.stringOr("command", "unknown") + ")";
+    }
+    co_return text + "; it is now " + present.value;
+}
+
+Task<Revision> OperatorStore::apply(StoreSnapshot present, std::vector<Declaration> wanted)
+{
+    checkResult(present, wanted);
+    const auto changes = difference(present, wanted);
+    if (changes.empty())
+        co_return present.revision;
+    std::vector<Swap> swaps;
+    for (const auto &change : changes)
+        swaps.push_back({change.key, modifiedOf(present, change.key), change.after});
+    // Authors are only for people; they are written with the change, whatever they were before.
+    for (const auto &change : changes) {
+        const std::string key = authorKey(change.key);
+        const auto before = co_await m_store.get(key);
+        swaps.push_back({key, before ? before->modified : Revision(0), formatAuthor(m_author)});
+    }
+    const SwapResult result = co_await swapAndSettle(m_store, swaps);
+    if (result.swapped)
+        co_return result.revision;
+    if (!result.present)
+        throw ConflictError("the declarations were changed meanwhile");
+    throw ConflictError(co_await describeConflict(*result.present));
+}
+
+Task<Revision> OperatorStore::startMove(ServiceId service, VersionId from, VersionId to,
+                                        std::optional<Milliseconds> deadline)
+{
+    const StoreSnapshot present = co_await declarations();
+    const Declarations declared = parsed(present);
+    const Service *found = declared.find(service);
+    if (found == nullptr)
+        throw ChangeError("service " + service.value() + " is not declared");
+    if (found->move && found->move->state == MoveState::Running)
+        throw ChangeError("a move of " + service.value() + " is running");
+    Random random = systemRandom();
+    VersionMove move;
+    move.service = service;
+    move.number = 1 + drawBelow(random, largestMoveNumber);
+    move.from = from;
+    move.to = to;
+    move.startedAt = wallMilliseconds();
+    move.deadline = deadline.value_or(found->rolloutDeadline);
+    std::vector<Declaration> wanted{{moveKey(service), formatMove(move), "move start"}};
+    co_return co_await apply(present, std::move(wanted));
+}
+
+Task<Revision> OperatorStore::takeBackMove(ServiceId service)
+{
+    const StoreSnapshot present = co_await declarations();
+    std::optional<VersionMove> move = findMove(present, service);
+    if (!move)
+        throw ChangeError("there is no move of " + service.value());
+    if (move->state == MoveState::Done)
+        throw ChangeError("the move is done; start one in the other direction");
+    move->state = MoveState::TakenBack;
+    std::vector<Declaration> wanted{{moveKey(service), formatMove(*move), "move take-back"}};
+    co_return co_await apply(present, std::move(wanted));
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/dispatch/placement_host.cpp
@@ -0,0 +1,95 @@
+#include "endivedock/dispatch/placement_host.h"
+
+namespace endivedock {
+
+void PlacementHost::configure(std::shared_ptr<const Declarations> declarations, TimePoint now,
+                              std::int64_t wallMs)
+{
+    m_declarations = std::move(declarations);
+    std::vector<ServiceId> gone;
+    for (auto &[id, placer] : m_placers) {
+        const Service *service = m_declarations->find(id);
+        if (service != nullptr)
+            placer->configure(*service, now, wallMs);
+        else
+            gone.push_back(id);
+    }
+    for (const auto &id : gone)
+        stop(id);
+}
+
+void PlacementHost::setTargets(std::vector<ListedTarget> listed, TimePoint now)
+{
+    m_listed = std::move(listed);
+    for (auto &[id, placer] : m_placers)
+        placer->setTargets(m_listed, now);
+}
+
+void PlacementHost::start(const ServiceId &id, TimePoint coldFrom, TimePoint now,
+                          std::int64_t wallMs)
+{
+    const Service *service = m_declarations ? m_declarations->find(id) : nullptr;
+    if (service == nullptr || m_placers.contains(id))
+        return;
+    auto placer = std::make_unique<Placer>(*service, m_random);
+    placer->configure(*service, now, wallMs);
+    placer->setTargets(m_listed, now);
+    placer->beginTakeover(coldFrom);
+    m_placers.emplace(id, std::move(placer));
+}
+
+void PlacementHost::stop(const ServiceId &service)
+{
+    const auto found = m_placers.find(service);
+    if (found == m_placers.end())
+        return;
+    const auto placer = std::move(found->second);
+    m_placers.erase(found);
+    deliver(placer->refuseWaiting(RefusalReason::NoTarget));
+}
+
+Placer *PlacementHost::placer(const ServiceId &service)
+{
+    const auto found = m_placers.find(service);
+    return found == m_placers.end() ? nullptr : found->second.get();
+}
+
+std::vector<ServiceId> PlacementHost::services() const
+{
+    std::vector<ServiceId> result;
+    for (const auto &[id, placer] : m_placers)
+        result.push_back(id);
+    return result;
+}
+
+void PlacementHost::request(const PlacementRequest &request, TimePoint now)
+{
+    if (Placer *found = placer(request.service))
+        deliver(found->request(request, now));
+}
+
+void PlacementHost::finish(const AttemptReport &report, TimePoint now)
+{
+    if (Placer *found = placer(report.service))
+        deliver(found->finish(report, now));
+}
+
+void PlacementHost::cancel(const PlacementCancel &cancel, TimePoint now)
+{
+    if (Placer *found = placer(cancel.service))
+        deliver(found->cancel(cancel.attempt, now));
+}
+
+void PlacementHost::tick(TimePoint now)
+{
+    for (auto &[id, placer] : m_placers)
+        deliver(placer->tick(now));
+}
+
+void PlacementHost::deliver(PlacementAnswers answers)
+{
+    for (auto &answer : answers)
+        m_deliver(std::move(answer));
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/gateway/attempt_policy.cpp
@@ -0,0 +1,58 @@
+#include "endivedock/gateway/attempt_policy.h"
+
+namespace endivedock {
+
+RunCertainty certaintyOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Shed:
+    case AttemptOutcome::Draining:
+    case AttemptOutcome::ConnectFailed:
+        return RunCertainty::NotRun;
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::ConnectionLost:
+    case AttemptOutcome::TimedOut:
+    case AttemptOutcome::Abandoned:
+        return RunCertainty::MayHaveRun;
+    }
+    return RunCertainty::MayHaveRun;
+}
+
+std::optional<Refusal> decideAfterAttempt(const AttemptEnd &end)
+{
+    const RunCertainty certainty = certaintyOf(end.outcome);
+    const bool safe = end.idempotent || certainty == RunCertainty::NotRun;
+    if (end.timeLeft <= Duration::zero() || end.outcome == AttemptOutcome::TimedOut)
+        return Refusal{RefusalReason::DeadlineExceeded, certainty};
+    if (safe && end.replayable && end.attempts < end.maxAttempts)
+        return std::nullopt;
+    const bool refused =
+            end.outcome == AttemptOutcome::Shed || end.outcome == AttemptOutcome::Draining;
+    return Refusal{refused ? RefusalReason::TargetRefused : RefusalReason::TargetFailed, certainty};
+}
+
+std::string_view name(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Answered:
+        return "answered";
+    case AttemptOutcome::Failed:
+        return "failed";
+    case AttemptOutcome::Shed:
+        return "shed";
+    case AttemptOutcome::Draining:
+        return "draining";
+    case AttemptOutcome::ConnectFailed:
+        return "connect-failed";
+    case AttemptOutcome::ConnectionLost:
+        return "connection-lost";
+    case AttemptOutcome::TimedOut:
+        return "timed-out";
+    case AttemptOutcome::Abandoned:
+        return "abandoned";
+    }
+    return "unknown";
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/gateway/http_message.cpp
@@ -0,0 +1,69 @@
+#include "endivedock/gateway/http_message.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace endivedock {
+
+namespace {
+
+constexpr std::string_view textReport = "TEXT ";
+constexpr std::string_view inFlightMetric = "named_metrics.in_flight=";
+
+bool equalIgnoringCase(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+        return std::tolower(x) == std::tolower(y);
+    });
+}
+
+template <typename T>
+std::optional<T> readNumber(std::string_view text)
+{
+    T number{};
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (code != std::errc{})
+        return std::nullopt;
+    return number;
+}
+
+/** Reads the text form: "TEXT name=value, name=value". */
+std::optional<Slots> parseInFlight(std::string_view report)
+{
+    if (!report.starts_with(textReport))
+        return std::nullopt;
+    const std::size_t found = report.find(inFlightMetric);
+    if (found == std::string_view::npos)
+        return std::nullopt;
+    const auto number = readNumber<int>(report.substr(found + inFlightMetric.size()));
+    if (!number || *number < 0)
+        return std::nullopt;
+    return Slots(*number);
+}
+
+} // namespace
+
+std::optional<std::string_view> findField(const HeaderFields &fields, std::string_view name)
+{
+    for (const auto &field : fields) {
+        if (equalIgnoringCase(field.name, name))
+            return field.value;
+    }
+    return std::nullopt;
+}
+
+TargetReport parseTargetReport(const HeaderFields &fields)
+{
+    TargetReport report;
+    if (const auto value = findField(fields, incarnationField)) {
+        if (const auto number = readNumber<std::uint64_t>(*value))
+            report.incarnation = Incarnation(*number);
+    }
+    if (const auto value = findField(fields, loadReportField))
+        report.inFlight = parseInFlight(*value);
+    report.notRun = findField(fields, notRunField) == "true";
+    report.draining = findField(fields, targetStateField) == "draining";
+    return report;
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/gateway/request_plan.cpp
@@ -0,0 +1,104 @@
+#include "endivedock/gateway/request_plan.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <xxhash.h>
+
+namespace endivedock {
+
+namespace {
+
+constexpr std::size_t longestKey = 255;
+
+struct ServicePath
+{
+    ServiceId service;
+    std::string rest;
+};
+
+std::optional<ServicePath> splitPath(std::string_view path)
+{
+    if (!path.starts_with('/'))
+        return std::nullopt;
+    const std::size_t afterTenant = path.find('/', 1);
+    if (afterTenant == std::string_view::npos)
+        return std::nullopt;
+    const std::size_t end = std::min(path.find_first_of("/?", afterTenant + 1), path.size());
+    ServicePath result{ServiceId(std::string(path.substr(1, end - 1))),
+                       std::string(path.substr(end))};
+    if (!result.rest.starts_with('/'))
+        result.rest.insert(0, "/");
+    return result;
+}
+
+std::optional<Milliseconds> callersTimeout(const HeaderFields &fields)
+{
+    const auto text = findField(fields, timeoutField);
+    if (!text)
+        return std::nullopt;
+    std::int64_t number = 0;
+    const auto [end, code] = std::from_chars(text->data(), text->data() + text->size(), number);
+    if (code != std::errc{} || end != text->data() + text->size() || number < 0)
+        return std::nullopt;
+    return Milliseconds(number);
+}
+
+RunKey runKeyOf(const ServiceId &service, std::string_view key)
+{
+    const std::string text = service.value() + '\n' + std::string(key);
+    return RunKey(XXH3_64bits(text.data(), text.size()));
+}
+
+Refusal notRun(RefusalReason reason)
+{
+    return {reason, RunCertainty::NotRun};
+}
+
+} // namespace
+
+std::variant<RequestPlan, Refusal> planRequest(const RequestHead &head,
+                                               const Declarations *declarations, TimePoint now)
+{
+    if (declarations == nullptr)
+        return notRun(RefusalReason::NoConfiguration);
+    const auto path = splitPath(head.path);
+    const Service *service = path ? declarations->find(path->service) : nullptr;
+    if (service == nullptr)
+        return notRun(RefusalReason::UnknownService);
+    const auto key = findField(head.fields, idempotencyKeyField);
+    if (key && (key->empty() || key->size() > longestKey))
+        return notRun(RefusalReason::BadRequest);
+    const RouteRule rule = service->ruleFor(head.method, path->rest);
+    const auto route = service->ruleIndexFor(head.method, path->rest);
+    if (rule.keyRequired && !key)
+        return notRun(RefusalReason::KeyRequired);
+    if (head.framing.length && *head.framing.length > service->settings.maxBody.value())
+        return notRun(RefusalReason::BodyTooLarge);
+
+    RequestPlan plan;
+    plan.service = service->id;
+    plan.targetPath = path->rest;
+    plan.route = route ? static_cast<std::int16_t>(*route) : std::int16_t{-1};
+    plan.priority = rule.priority;
+    plan.idempotent = rule.idempotent && !key;
+    if (key)
+        plan.runKey = runKeyOf(service->id, *key);
+    const Milliseconds most = service->settings.deadline;
+    plan.deadline = now + std::min(most, callersTimeout(head.fields).value_or(most));
+    plan.maxAttempts = service->settings.maxAttempts;
+    plan.inheritedRetry = findField(head.fields, retryField).has_value();
+    plan.maxBody = service->settings.maxBody;
+    return plan;
+}
+
+Fingerprint fingerprintOf(const RequestPlan &plan, std::string_view method,
+                          std::string_view bodyStart)
+{
+    XXH64_hash_t hash = XXH3_64bits(plan.service.value().data(), plan.service.value().size());
+    hash = XXH3_64bits_withSeed(method.data(), method.size(), hash);
+    hash = XXH3_64bits_withSeed(plan.targetPath.data(), plan.targetPath.size(), hash);
+    return Fingerprint(XXH3_64bits_withSeed(bodyStart.data(), bodyStart.size(), hash));
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/gateway/target_connection.cpp
@@ -0,0 +1,251 @@
+#include "endivedock/gateway/target_connection.h"
+
+#include "http_fields.h"
+
+#include <algorithm>
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace endivedock {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+constexpr std::size_t readBufferBytes = 128 * 1024;
+constexpr Milliseconds connectTimeout{1000};
+
+using Request = http::request<http::buffer_body>;
+using RequestSerializer = http::request_serializer<http::buffer_body>;
+using ResponseParser = http::response_parser<http::buffer_body>;
+
+TargetError targetError(const boost::system::error_code &error)
+{
+    return {error.message(), error == beast::error::timeout};
+}
+
+} // namespace
+
+class TargetConnection::Impl
+{
+public:
+    explicit Impl(const asio::any_io_executor &executor)
+        : m_stream(executor)
+        , m_buffer(readBufferBytes)
+    {
+    }
+
+    Task<> connect(Address target, TimePoint deadline)
+    {
+        boost::system::error_code error;
+        m_stream.expires_at(std::min(deadline, SteadyClock().now() + connectTimeout));
+        co_await m_stream.async_connect(tcpEndpoint(target),
+                                        asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            throw TargetConnectError(formatAddress(target) + ": " + error.message());
+        m_stream.socket().set_option(asio::ip::tcp::no_delay(true));
+    }
+
+    void setDeadline(TimePoint deadline) { m_stream.expires_at(deadline); }
+
+    Task<> sendHead(const RequestHead &head)
+    {
+        m_reusable = false;
+        m_isHead = head.method == "HEAD";
+        m_request.emplace();
+        m_request->version(11);
+        m_request->method_string(head.method);
+        m_request->target(head.path);
+        for (const auto &field : head.fields)
+            m_request->insert(field.name, field.value);
+        m_hasBody = head.framing.chunked || head.framing.length;
+        if (head.framing.chunked)
+            m_request->chunked(true);
+        else if (head.framing.length)
+            m_request->content_length(*head.framing.length);
+        m_request->body().data = nullptr;
+        m_request->body().more = true;
+        m_serializer.emplace(*m_request);
+        boost::system::error_code error;
+        co_await http::async_write_header(m_stream, *m_serializer,
+                                          asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            throw targetError(error);
+    }
+
+    Task<> sendBody(std::span<const char> piece)
+    {
+        m_request->body().data = const_cast<char *>(piece.data());
+        m_request->body().size = piece.size();
+        m_request->body().more = true;
+        co_await write();
+    }
+
+    Task<> endRequest()
+    {
+        m_request->body().data = nullptr;
+        m_request->body().size = 0;
+        m_request->body().more = false;
+        if (m_hasBody)
+            co_await write();
+        m_sentWhole = true;
+    }
+
+    Task<> write()
+    {
+        boost::system::error_code error;
+        co_await http::async_write(m_stream, *m_serializer,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error && error != http::error::need_buffer)
+            throw targetError(error);
+    }
+
+    Task<AnswerHead> readHead()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(maxHeaderBytes);
+        m_parser->body_limit(boost::none);
+        m_parser->skip(m_isHead);
+        boost::system::error_code error;
+        do {
+            co_await http::async_read_header(m_stream, m_buffer, *m_parser,
+                                             asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                throw targetError(error);
+            if (m_parser->get().result() != http::status::continue_)
+                break;
+            m_parser.emplace();
+            m_parser->skip(m_isHead);
+        } while (true);
+        co_return makeHead();
+    }
+
+    AnswerHead makeHead()
+    {
+        const auto &message = m_parser->get();
+        AnswerHead head;
+        head.status = message.result_int();
+        head.fields = endToEndFields(message.base());
+        head.framing.chunked = m_parser->chunked();
+        if (const auto length = m_parser->content_length())
+            head.framing.length = *length;
+        head.bodiless = m_isHead || head.status == 204 || head.status == 304;
+        finishIfDone();
+        return head;
+    }
+
+    Task<std::size_t> readBody(std::span<char> into)
+    {
+        std::size_t produced = 0;
+        while (produced == 0 && !m_parser->is_done()) {
+            auto &body = m_parser->get().body();
+            body.data = into.data();
+            body.size = into.size();
+            body.more = true;
+            boost::system::error_code error;
+            co_await http::async_read_some(m_stream, m_buffer, *m_parser,
+                                           asio::redirect_error(asio::use_awaitable, error));
+            if (error && error != http::error::need_buffer)
+                throw targetError(error);
+            produced = into.size() - m_parser->get().body().size;
+        }
+        finishIfDone();
+        co_return produced;
+    }
+
+    void finishIfDone()
+    {
+        if (!m_parser->is_done())
+            return;
+        // Bytes left over belong to no request, so nothing on this connection can be trusted.
+        m_reusable = m_sentWhole && m_parser->keep_alive() && m_buffer.size() == 0;
+        m_sentWhole = false;
+    }
+
+    bool reusable() const { return m_reusable; }
+
+    bool stale()
+    {
+        boost::system::error_code error;
+        auto &socket = m_stream.socket();
+        socket.non_blocking(true, error);
+        char byte = 0;
+        socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return error != asio::error::would_block;
+    }
+
+    void close() { m_stream.close(); }
+
+private:
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<Request> m_request;
+    std::optional<RequestSerializer> m_serializer;
+    std::optional<ResponseParser> m_parser;
+    bool m_isHead = false;
+    bool m_hasBody = false;
+    bool m_sentWhole = false;
+    bool m_reusable = false;
+};
+
+TargetConnection::TargetConnection(const asio::any_io_executor &executor)
+    : m_impl(std::make_unique<Impl>(executor))
+{
+}
+
+TargetConnection::~TargetConnection() = default;
+
+Task<> TargetConnection::connect(Address target, TimePoint deadline)
+{
+    return m_impl->connect(std::move(target), deadline);
+}
+
+void TargetConnection::setDeadline(TimePoint deadline)
+{
+    m_impl->setDeadline(deadline);
+}
+
+Task<> TargetConnection::sendHead(const RequestHead &head)
+{
+    return m_impl->sendHead(head);
+}
+
+Task<> TargetConnection::sendBody(std::span<const char> piece)
+{
+    return m_impl->sendBody(piece);
+}
+
+Task<> TargetConnection::endRequest()
+{
+    return m_impl->endRequest();
+}
+
+Task<AnswerHead> TargetConnection::readHead()
+{
+    return m_impl->readHead();
+}
+
+Task<std::size_t> TargetConnection::readBody(std::span<char> into)
+{
+    return m_impl->readBody(into);
+}
+
+bool TargetConnection::reusable() const
+{
+    return m_impl->reusable();
+}
+
+bool TargetConnection::stale()
+{
+    return m_impl->stale();
+}
+
+void TargetConnection::close()
+{
+    m_impl->close();
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/measuring/probe_plan.cpp
@@ -0,0 +1,1 @@
+#include "endivedock/measuring/probe_plan.h"
--- /dev/null
+++ b/src/moves/evidence.cpp
@@ -0,0 +1,126 @@
+#include "endivedock/moves/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endivedock {
+
+namespace {
+
+/** An answer this many times slower than the old version's mean counts as bad. */
+constexpr double slowFactor = 4.0;
+/** Weight of one answer in the old version's mean time. */
+constexpr double usualWeight = 0.02;
+/** Recent counts halve in this time. */
+constexpr Milliseconds halfLife{2000};
+/** Bad part that is never held against a new version. */
+constexpr double toleratedBad = 0.02;
+/** A new version may be this much worse than the old one before it counts as evidence. */
+constexpr double toleratedFactor = 1.5;
+/** Logarithm of the odds against an equally good version showing this much. */
+constexpr double doubt = 12.0;
+/** Answers on a route, in one step, before the route counts as tried. */
+constexpr int routeAnswers = 3;
+/** A route with less of the old version's answers than this part need not be tried. */
+constexpr double smallRoute = 0.02;
+
+/** Kullback-Leibler divergence of Bernoulli variables; the exponent of the Chernoff bound. */
+double divergence(double seen, double expected)
+{
+    double result = 0;
+    if (seen > 0)
+        result += seen * std::log(seen / expected);
+    if (seen < 1)
+        result += (1 - seen) * std::log((1 - seen) / (1 - expected));
+    return result;
+}
+
+bool worse(const AnswerCounts &fresh, const AnswerCounts &old)
+{
+    if (fresh.answers < 1)
+        return false;
+    const double oldBad = (old.bad + 1) / (old.answers + 50);
+    const double expected = std::min(0.95, std::max(toleratedBad, oldBad * toleratedFactor));
+    const double seen = fresh.bad / fresh.answers;
+    return seen > expected && fresh.answers * divergence(seen, expected) > doubt;
+}
+
+void add(AnswerCounts &counts, bool bad)
+{
+    counts.answers += 1;
+    counts.bad += bad ? 1 : 0;
+}
+
+void scale(AnswerCounts &counts, double factor)
+{
+    counts.answers *= factor;
+    counts.bad *= factor;
+}
+
+} // namespace
+
+void MoveEvidence::fade(Route &route, TimePoint now)
+{
+    if (route.fadedAt != TimePoint{}) {
+        const std::chrono::duration<double> passed = now - route.fadedAt;
+        const double factor = std::exp2(-passed / std::chrono::duration<double>(halfLife));
+        scale(route.oldRecent, factor);
+        scale(route.newRecent, factor);
+    }
+    route.fadedAt = now;
+}
+
+void MoveEvidence::answered(MoveSide side, RouteIndex index, bool failed, Microseconds time,
+                            TimePoint now)
+{
+    Route &route = m_routes[index];
+    fade(route, now);
+    const auto taken = static_cast<double>(time.count());
+    const bool slow = route.usualMicroseconds > 0 && taken > slowFactor * route.usualMicroseconds;
+    const bool bad = failed || slow;
+    if (side == MoveSide::New) {
+        add(route.newTotal, bad);
+        add(route.newRecent, bad);
+        ++route.newInStep;
+        ++m_newInStep;
+        return;
+    }
+    add(route.oldTotal, bad);
+    add(route.oldRecent, bad);
+    ++route.oldInStep;
+    if (failed)
+        return;
+    if (route.usualMicroseconds == 0)
+        route.usualMicroseconds = taken;
+    route.usualMicroseconds += (taken - route.usualMicroseconds) * usualWeight;
+}
+
+bool MoveEvidence::faultFound() const
+{
+    return std::any_of(m_routes.begin(), m_routes.end(), [](const auto &item) {
+        const Route &route = item.second;
+        return worse(route.newTotal, route.oldTotal) || worse(route.newRecent, route.oldRecent);
+    });
+}
+
+bool MoveEvidence::routesCovered() const
+{
+    double all = 0;
+    for (const auto &[index, route] : m_routes)
+        all += route.oldInStep;
+    return std::all_of(m_routes.begin(), m_routes.end(), [all](const auto &item) {
+        const Route &route = item.second;
+        return route.oldInStep < smallRoute * all || route.newInStep >= routeAnswers;
+    });
+}
+
+void MoveEvidence::resetStep()
+{
+    m_newInStep = 0;
+    for (auto &[index, route] : m_routes) {
+        route.oldInStep = 0;
+        route.newInStep = 0;
+    }
+}
+
+} // namespace endivedock
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -71,9 +71,12 @@
             co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
             auto request = parser.release();
             stream.expires_never();
-            HttpResult result =
-                    co_await m_handler({std::string(request.method_string()),
-                                        std::string(request.target()), std::move(request.body())});
+            // Named, since g++ 12 destroys a braced argument of an awaited call twice.
+            HttpCall call;
+            call.method = std::string(request.method_string());
+            call.path = std::string(request.target());
+            call.body = std::move(request.body());
+            HttpResult result = co_await m_handler(std::move(call));
             http::response<http::string_body> response;
             response.version(11);
             response.result(result.status);
--- /dev/null
+++ b/src/routing/policies.cpp
@@ -0,0 +1,195 @@
+#include "endivedock/routing/policies.h"
+
+#include <algorithm>
+#include <array>
+
+namespace endivedock {
+
+namespace {
+
+/** Candidates that the sampling policies look at. */
+constexpr std::size_t sampleSize = 6;
+/** Reported targets at or above this quantile of requests in flight are hot. */
+constexpr double hotQuantile = 0.8;
+/** Part by which a mean time must be shorter to decide between equally loaded targets. */
+constexpr double clearlyFaster = 0.75;
+
+/** Keeps the best candidate so far; equal candidates replace it with equal chance. */
+class BestOf
+{
+public:
+    explicit BestOf(Random &random)
+        : m_random(random)
+    {
+    }
+
+    /** @param order  below 0 if the candidate is better than the best, 0 if equal */
+    void offer(std::size_t index, int order)
+    {
+        if (!m_best || order < 0) {
+            m_best = index;
+            m_equal = 1;
+        } else if (order == 0 && drawBelow(m_random, ++m_equal) == 0) {
+            m_best = index;
+        }
+    }
+    const std::optional<std::size_t> &best() const { return m_best; }
+
+private:
+    Random &m_random;
+    std::optional<std::size_t> m_best;
+    std::uint64_t m_equal = 1;
+};
+
+/** @return up to sampleSize distinct targets with room, drawn at random */
+std::vector<std::size_t> sampleWithRoom(std::span<const TargetView> targets, std::size_t wanted,
+                                        Random &random)
+{
+    std::vector<std::size_t> sample;
+    std::uint64_t seen = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (!hasRoom(targets[i]))
+            continue;
+        ++seen;
+        if (sample.size() < wanted) {
+            sample.push_back(i);
+            continue;
+        }
+        const std::uint64_t position = drawBelow(random, seen);
+        if (position < wanted)
+            sample[position] = i;
+    }
+    return sample;
+}
+
+Slots knownInFlight(const TargetView &target)
+{
+    return target.reportedInFlight.value_or(target.inFlight);
+}
+
+double freeRatio(const TargetView &target)
+{
+    if (target.slots.value() <= 0)
+        return 1.0;
+    const double used = static_cast<double>(knownInFlight(target).value());
+    return std::clamp(1.0 - used / target.slots.value(), 0.0, 1.0);
+}
+
+template <typename T>
+int compare(const T &a, const T &b)
+{
+    return a < b ? -1 : (b < a ? 1 : 0);
+}
+
+int compareForFreeSlot(const TargetView &a, const TargetView &b)
+{
+    const bool aWaits = a.inFlight >= a.slots;
+    const bool bWaits = b.inFlight >= b.slots;
+    if (aWaits != bWaits)
+        return aWaits ? 1 : -1;
+    const int aLoad = a.inFlight.value() * b.limit.value();
+    const int bLoad = b.inFlight.value() * a.limit.value();
+    if (aLoad != bLoad)
+        return aLoad - bLoad;
+    const auto aTime = static_cast<double>(a.meanTime.count());
+    const auto bTime = static_cast<double>(b.meanTime.count());
+    if (aTime < clearlyFaster * bTime)
+        return -1;
+    return bTime < clearlyFaster * aTime ? 1 : 0;
+}
+
+} // namespace
+
+std::optional<std::size_t> RandomPick::pick(std::span<const TargetView> targets, Random &random)
+{
+    const auto sample = sampleWithRoom(targets, 1, random);
+    return sample.empty() ? std::nullopt : std::optional(sample.front());
+}
+
+std::optional<std::size_t> RoundRobin::pick(std::span<const TargetView> targets, Random &)
+{
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const std::size_t index = (m_next + i) % targets.size();
+        if (!hasRoom(targets[index]))
+            continue;
+        m_next = index + 1;
+        return index;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> LeastOutstanding::pick(std::span<const TargetView> targets,
+                                                  Random &random)
+{
+    BestOf best(random);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (!hasRoom(targets[i]))
+            continue;
+        best.offer(i,
+                   best.best() ? compare(targets[i].inFlight, targets[*best.best()].inFlight) : -1);
+    }
+    return best.best();
+}
+
+std::optional<std::size_t> TwoChoices::pick(std::span<const TargetView> targets, Random &random)
+{
+    const auto sample = sampleWithRoom(targets, 2, random);
+    if (sample.empty())
+        return std::nullopt;
+    if (sample.size() == 1)
+        return sample.front();
+    const bool first = targets[sample[0]].inFlight <= targets[sample[1]].inFlight;
+    return sample[first ? 0 : 1];
+}
+
+std::optional<std::size_t> HotCold::pick(std::span<const TargetView> targets, Random &random)
+{
+    const auto sample = sampleWithRoom(targets, sampleSize, random);
+    if (sample.empty())
+        return std::nullopt;
+    std::vector<int> loads;
+    for (const auto &target : targets)
+        loads.push_back(knownInFlight(target).value());
+    const auto mark = loads.begin() + static_cast<std::ptrdiff_t>(
+                                              hotQuantile * static_cast<double>(loads.size() - 1));
+    std::nth_element(loads.begin(), mark, loads.end());
+    const Slots hot{*mark};
+    BestOf best(random);
+    for (const std::size_t index : sample) {
+        const auto order = [&](const TargetView &a, const TargetView &b) {
+            const bool aHot = knownInFlight(a) > hot;
+            const bool bHot = knownInFlight(b) > hot;
+            if (aHot != bHot)
+                return aHot ? 1 : -1;
+            return aHot ? compare(knownInFlight(a), knownInFlight(b))
+                        : compare(a.reportedTime, b.reportedTime);
+        };
+        best.offer(index, best.best() ? order(targets[index], targets[*best.best()]) : -1);
+    }
+    return best.best();
+}
+
+std::optional<std::size_t> FreeRatioSample::pick(std::span<const TargetView> targets,
+                                                 Random &random)
+{
+    BestOf best(random);
+    for (const std::size_t index : sampleWithRoom(targets, sampleSize, random)) {
+        best.offer(index, best.best() ? compare(freeRatio(targets[*best.best()]),
+                                                freeRatio(targets[index]))
+                                      : -1);
+    }
+    return best.best();
+}
+
+std::optional<std::size_t> FreeSlotFirst::pick(std::span<const TargetView> targets, Random &random)
+{
+    BestOf best(random);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (!hasRoom(targets[i]))
+            continue;
+        best.offer(i, best.best() ? compareForFreeSlot(targets[i], targets[*best.best()]) : -1);
+    }
+    return best.best();
+}
+
+} // namespace endivedock
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -2,6 +2,7 @@
 
 #include "endivedock/json.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/json/array.hpp>
@@ -94,43 +95,47 @@
     return range;
 }
 
-json::object swapTransaction(const std::string &key, Revision modified, const std::string &value,
-                             LeaseId lease)
+json::object swapTransaction(const std::vector<Swap> &swaps, LeaseId lease)
 {
-    json::object compare;
-    compare["key"] = encodeBase64(key);
-    compare["target"] = "MOD";
-    compare["result"] = "EQUAL";
-    compare["mod_revision"] = std::to_string(modified.value());
-    json::object put;
-    put["key"] = encodeBase64(key);
-    put["value"] = encodeBase64(value);
-    if (lease != noLease)
-        put["lease"] = std::to_string(lease.value());
-    json::object range;
-    range["key"] = encodeBase64(key);
-    json::object transaction;
-    transaction["compare"] = json::array{compare};
-    transaction["success"] = json::array{json::object{{"request_put", put}}};
-    transaction["failure"] = json::array{json::object{{"request_range", range}}};
-    return transaction;
+    json::array compares;
+    json::array puts;
+    json::array ranges;
+    for (const auto &swap : swaps) {
+        const std::string key = encodeBase64(swap.key);
+        compares.push_back(json::object{{"key", key},
+                                        {"target", "MOD"},
+                                        {"result", "EQUAL"},
+                                        {"mod_revision", std::to_string(swap.modified.value())}});
+        json::object put{{"key", key}, {"value", encodeBase64(swap.value)}};
+        if (lease != noLease)
+            put["lease"] = std::to_string(lease.value());
+        puts.push_back(json::object{{"request_put", put}});
+        ranges.push_back(json::object{{"request_range", json::object{{"key", key}}}});
+    }
+    return {{"compare", compares}, {"success", puts}, {"failure", ranges}};
 }
 
-std::optional<StoreEntry> readLostSwap(const json::object &answer)
+/** @return the first entry that is not as its writer believed */
+std::optional<StoreEntry> readConflict(const json::object &answer, const std::vector<Swap> &swaps)
 {
     const json::value *responses = answer.if_contains("responses");
-    if (responses == nullptr || !responses->is_array() || responses->get_array().empty())
-        return std::nullopt;
-    const json::value &first = responses->get_array().front();
-    if (!first.is_object())
-        return std::nullopt;
-    const json::value *range = first.get_object().if_contains("response_range");
-    if (range == nullptr || !range->is_object())
+    if (responses == nullptr || !responses->is_array())
         return std::nullopt;
-    auto entries = readEntries(range->get_object());
-    if (entries.empty())
-        return std::nullopt;
-    return std::move(entries.front());
+    for (const auto &response : responses->get_array()) {
+        if (!response.is_object())
+            continue;
+        const json::value *range = response.get_object().if_contains("response_range");
+        if (range == nullptr || !range->is_object())
+            continue;
+        for (auto &entry : readEntries(range->get_object())) {
+            const bool unchanged = std::any_of(swaps.begin(), swaps.end(), [&](const Swap &swap) {
+                return swap.key == entry.key && swap.modified == entry.modified;
+            });
+            if (!unchanged)
+                return std::move(entry);
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -192,10 +197,9 @@
     co_return StoreSnapshot{readRevision(answer), readEntries(answer)};
 }
 
-Task<SwapResult> EtcdStore::compareAndSwap(std::string key, Revision modified, std::string value,
-                                           LeaseId lease)
+Task<SwapResult> EtcdStore::compareAndSwap(std::vector<Swap> swaps, LeaseId lease)
 {
-    const json::object transaction = swapTransaction(key, modified, value, lease);
+    const json::object transaction = swapTransaction(swaps, lease);
     const std::string text =
             co_await call("/v3/kv/txn", json::serialize(transaction), Retry::Never);
     const json::object answer = readObject(text);
@@ -204,7 +208,7 @@
     result.swapped = succeeded != nullptr && succeeded->is_bool() && succeeded->get_bool();
     result.revision = readRevision(answer);
     if (!result.swapped)
-        result.present = readLostSwap(answer);
+        result.present = readConflict(answer, swaps);
     co_return result;
 }
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -9,7 +9,7 @@
 #pragma GCC diagnostic ignored "-Wextra"
 #include <easylogging++.h>
 
-#include <easylogging++.cc>
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
 #pragma GCC diagnostic pop
 
 INITIALIZE_EASYLOGGINGPP
--- /dev/null
+++ b/tools/platform_standin.cpp
@@ -0,0 +1,327 @@
+// A stand-in for the platform: the JSON gateway of the etcd v3 protocol and the host directory, on
+// one port, in memory. It can be told to be slow, to be down, to lose the answer to a write, and to
+// serve an old listing: POST /control
+// {"store":"up|down|slow|loseAnswers","directory":"up|down|frozen"}. Tests also set the listing:
+// PUT /v1/hosts, or change one entry: POST /v1/targets/state.
+
+#include "endivedock/json.h"
+#include "endivedock/net.h"
+#include "endivedock/store.h"
+
+#include <iostream>
+#include <map>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace {
+
+using namespace endivedock;
+namespace json = boost::json;
+
+constexpr Milliseconds slowness{800};
+constexpr Milliseconds pollInterval{5};
+constexpr Seconds longestWatch{25};
+
+struct Value
+{
+    std::string text;
+    std::int64_t created = 0;
+    std::int64_t modified = 0;
+    std::int64_t version = 0;
+    std::int64_t lease = 0;
+};
+
+struct Lease
+{
+    Seconds term{0};
+    TimePoint expires{};
+};
+
+enum class StoreMode { Up, Down, Slow, LoseAnswers };
+enum class DirectoryMode { Up, Down, Frozen };
+
+std::string text(const json::value &value)
+{
+    return std::string(value.as_string().data(), value.as_string().size());
+}
+
+std::string decoded(const json::object &object, std::string_view name)
+{
+    return object.contains(name) ? decodeBase64(text(object.at(name))) : std::string();
+}
+
+std::int64_t integer(const json::object &object, std::string_view name)
+{
+    if (!object.contains(name))
+        return 0;
+    const json::value &value = object.at(name);
+    return value.is_string() ? std::stoll(text(value)) : value.to_number<std::int64_t>();
+}
+
+HttpResult answer(const json::object &object)
+{
+    return {200, "application/json", json::serialize(object) + "\n"};
+}
+
+class Platform
+{
+public:
+    Task<HttpResult> handle(HttpCall call)
+    {
+        if (call.path.starts_with("/v3/"))
+            co_return co_await handleStore(std::move(call));
+        if (call.path == "/control")
+            co_return control(parseJson(call.body, "control").as_object());
+        if (call.path == "/calls")
+            co_return HttpResult{200, "text/plain", std::to_string(m_calls) + "\n"};
+        co_return handleDirectory(call);
+    }
+
+private:
+    HttpResult control(const json::object &order)
+    {
+        if (order.contains("store")) {
+            const std::string mode = text(order.at("store"));
+            m_mode = mode == "down"          ? StoreMode::Down
+                     : mode == "slow"        ? StoreMode::Slow
+                     : mode == "loseAnswers" ? StoreMode::LoseAnswers
+                                             : StoreMode::Up;
+        }
+        if (order.contains("directory")) {
+            const std::string mode = text(order.at("directory"));
+            m_directoryMode = mode == "down"     ? DirectoryMode::Down
+                              : mode == "frozen" ? DirectoryMode::Frozen
+                                                 : DirectoryMode::Up;
+            m_frozen = m_listing;
+        }
+        return {200, "application/json", "{}\n"};
+    }
+
+    HttpResult handleDirectory(const HttpCall &call)
+    {
+        if (call.method == "PUT" && call.path == "/v1/hosts") {
+            m_listing = parseJson(call.body, "listing");
+            return {200, "application/json", "{}\n"};
+        }
+        if (call.method == "POST" && call.path == "/v1/targets/state")
+            return setTargetState(parseJson(call.body, "state").as_object());
+        if (m_directoryMode == DirectoryMode::Down)
+            return {503, "text/plain", "down\n"};
+        const bool frozen = m_directoryMode == DirectoryMode::Frozen;
+        return {200, "application/json", json::serialize(frozen ? m_frozen : m_listing)};
+    }
+
+    HttpResult setTargetState(const json::object &order)
+    {
+        for (auto &target : m_listing.as_object().at("targets").as_array()) {
+            if (target.as_object().at("target") == order.at("target"))
+                target.as_object()["state"] = order.at("state");
+        }
+        return {200, "application/json", "{}\n"};
+    }
+
+    Task<HttpResult> handleStore(HttpCall call)
+    {
+        ++m_calls;
+        if (m_mode == StoreMode::Down)
+            co_return HttpResult{503, "text/plain", "down\n"};
+        if (m_mode == StoreMode::Slow)
+            co_await sleepFor(slowness);
+        expireLeases();
+        const json::value body = parseJson(call.body, "request");
+        const json::object &request = body.as_object();
+        if (call.path == "/v3/kv/range")
+            co_return answer(range(request));
+        if (call.path == "/v3/kv/txn") {
+            const HttpResult result = answer(transaction(request));
+            if (m_mode == StoreMode::LoseAnswers)
+                co_return HttpResult{503, "text/plain", "the answer was lost\n"};
+            co_return result;
+        }
+        if (call.path == "/v3/watch")
+            co_return co_await watch(request);
+        if (call.path == "/v3/lease/grant")
+            co_return answer(grantLease(request));
+        if (call.path == "/v3/lease/keepalive")
+            co_return answer(keepAlive(request));
+        if (call.path == "/v3/lease/revoke")
+            co_return answer(revoke(request));
+        co_return HttpResult{404, "text/plain", "no such call\n"};
+    }
+
+    json::object header() const { return {{"revision", std::to_string(m_revision)}}; }
+
+    static json::object pair(const std::string &key, const Value &value)
+    {
+        json::object result;
+        result["key"] = encodeBase64(key);
+        result["value"] = encodeBase64(value.text);
+        result["create_revision"] = std::to_string(value.created);
+        result["mod_revision"] = std::to_string(value.modified);
+        result["version"] = std::to_string(value.version);
+        return result;
+    }
+
+    json::object range(const json::object &request) const
+    {
+        const std::string key = decoded(request, "key");
+        const std::string end = decoded(request, "range_end");
+        json::array pairs;
+        for (auto entry = m_values.lower_bound(key); entry != m_values.end(); ++entry) {
+            if (end.empty() ? entry->first != key : entry->first >= end)
+                break;
+            pairs.push_back(pair(entry->first, entry->second));
+        }
+        json::object result{{"header", header()}};
+        if (!pairs.empty()) {
+            result["count"] = std::to_string(pairs.size());
+            result["kvs"] = std::move(pairs);
+        }
+        return result;
+    }
+
+    bool holds(const json::object &compare) const
+    {
+        const auto found = m_values.find(decoded(compare, "key"));
+        const std::int64_t modified = found == m_values.end() ? 0 : found->second.modified;
+        return modified == integer(compare, "mod_revision");
+    }
+
+    json::object transaction(const json::object &request)
+    {
+        bool succeeded = true;
+        for (const auto &compare : request.at("compare").as_array())
+            succeeded = succeeded && holds(compare.as_object());
+        json::array responses;
+        const char *branch = succeeded ? "success" : "failure";
+        if (request.contains(branch)) {
+            for (const auto &operation : request.at(branch).as_array())
+                responses.push_back(apply(operation.as_object()));
+        }
+        json::object result;
+        if (succeeded)
+            result["succeeded"] = true;
+        result["responses"] = std::move(responses);
+        result["header"] = header();
+        return result;
+    }
+
+    json::object apply(const json::object &operation)
+    {
+        if (operation.contains("request_range"))
+            return {{"response_range", range(operation.at("request_range").as_object())}};
+        const json::object &put = operation.at("request_put").as_object();
+        ++m_revision;
+        Value &value = m_values[decoded(put, "key")];
+        value.text = decoded(put, "value");
+        value.created = value.created == 0 ? m_revision : value.created;
+        value.modified = m_revision;
+        ++value.version;
+        value.lease = integer(put, "lease");
+        return {{"response_put", json::object{{"header", header()}}}};
+    }
+
+    bool changedSince(const std::string &key, const std::string &end, std::int64_t from) const
+    {
+        for (auto entry = m_values.lower_bound(key); entry != m_values.end(); ++entry) {
+            if (entry->first >= end)
+                return false;
+            if (entry->second.modified >= from)
+                return true;
+        }
+        return false;
+    }
+
+    Task<HttpResult> watch(const json::object &request)
+    {
+        const json::object create = request.at("create_request").as_object();
+        const std::string key = decoded(create, "key");
+        const std::string end = decoded(create, "range_end");
+        const std::int64_t from = integer(create, "start_revision");
+        const TimePoint until = SteadyClock().now() + longestWatch;
+        while (!changedSince(key, end, from) && SteadyClock().now() < until &&
+               m_mode != StoreMode::Down)
+            co_await sleepFor(pollInterval);
+        if (m_mode == StoreMode::Down)
+            co_return HttpResult{503, "text/plain", "down\n"};
+        json::object result{{"header", header()}, {"events", json::array{json::object{}}}};
+        co_return answer({{"result", result}});
+    }
+
+    json::object grantLease(const json::object &request)
+    {
+        const std::int64_t id = ++m_lastLease;
+        const Seconds term(integer(request, "TTL"));
+        m_leases[id] = {term, SteadyClock().now() + term};
+        return {{"header", header()}, {"ID", std::to_string(id)}, {"TTL", request.at("TTL")}};
+    }
+
+    json::object keepAlive(const json::object &request)
+    {
+        const auto found = m_leases.find(integer(request, "ID"));
+        json::object result{{"header", header()}};
+        if (found != m_leases.end()) {
+            found->second.expires = SteadyClock().now() + found->second.term;
+            result["TTL"] = std::to_string(found->second.term.count());
+        }
+        return {{"result", result}};
+    }
+
+    json::object revoke(const json::object &request)
+    {
+        dropLease(integer(request, "ID"));
+        return {{"header", header()}};
+    }
+
+    void dropLease(std::int64_t id)
+    {
+        m_leases.erase(id);
+        const auto erased = std::erase_if(
+                m_values, [id](const auto &entry) { return entry.second.lease == id; });
+        m_revision += erased > 0 ? 1 : 0;
+    }
+
+    void expireLeases()
+    {
+        std::vector<std::int64_t> expired;
+        for (const auto &[id, lease] : m_leases) {
+            if (lease.expires <= SteadyClock().now())
+                expired.push_back(id);
+        }
+        for (const auto id : expired)
+            dropLease(id);
+    }
+
+    std::map<std::string, Value> m_values;
+    std::map<std::int64_t, Lease> m_leases;
+    std::int64_t m_revision = 1;
+    std::int64_t m_lastLease = 0;
+    std::uint64_t m_calls = 0;
+    StoreMode m_mode = StoreMode::Up;
+    DirectoryMode m_directoryMode = DirectoryMode::Up;
+    json::value m_listing = json::object{{"hosts", json::array{}}, {"targets", json::array{}}};
+    json::value m_frozen;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stand-in for the platform's store and host directory");
+    std::string listen = "127.0.0.1:0";
+    app.add_option("--listen", listen, "IP number and port");
+    CLI11_PARSE(app, argc, argv);
+    boost::asio::io_context context(1);
+    Platform platform;
+    HttpServer server(context.get_executor(), parseAddress(listen),
+                      [&platform](HttpCall call) { return platform.handle(std::move(call)); });
+    std::cout << formatAddress(server.localAddress()) << std::endl;
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
+    context.run();
+}
