--- a/daemons/endivedockd.cpp
+++ b/daemons/endivedockd.cpp
@@ -12,6 +12,23 @@
 constexpr int exitSettings = 2;
 constexpr int exitFailure = 1;
 
+/** Reads the peer keys again at each hang-up signal, so that keys change without a stop. */
+void followKeyChanges(boost::asio::signal_set &hangUp, endivedock::EntryHost &host,
+                      const std::string &path)
+{
+    hangUp.async_wait([&](const boost::system::error_code &error, int) {
+        if (error)
+            return;
+        try {
+            host.setKeys(endivedock::readHostSettings(path).peerKeys);
+        } catch (const endivedock::Error &failure) {
+            endivedock::Log("host").error("The old keys stay",
+                                          {endivedock::field("error", failure.what())});
+        }
+        followKeyChanges(hangUp, host, path);
+    });
+}
+
 int run(const std::string &path, bool checkOnly)
 {
     const endivedock::HostSettings settings = endivedock::readHostSettings(path);
@@ -27,6 +44,8 @@
         if (!error)
             host.stop();
     });
+    boost::asio::signal_set hangUp(context, SIGHUP);
+    followKeyChanges(hangUp, host, path);
     context.run();
     return 0;
 }
--- /dev/null
+++ b/include/endivedock/config/codec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "endivedock/config/messages.h"
+#include "endivedock/core/codec.h"
+
+namespace endivedock {
+
+template <typename Archive>
+void serialize(Archive &archive, ConfigurationEntry &entry)
+{
+    archive(entry.key, entry.value);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ConfigurationCopy &copy)
+{
+    archive(copy.revision, copy.entries);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ConfigurationRequest &request)
+{
+    archive(request.newerThan);
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/core/codec.h
@@ -0,0 +1,131 @@
+#pragma once
+
+/**
+ * How cereal encodes the core types. Included only where messages are encoded; decisions never see
+ * it. Lengths are bounded before anything is allocated, so that a malformed message cannot exhaust
+ * memory.
+ */
+
+#include "endivedock/core.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+
+namespace endivedock {
+
+/** A length in a message that is not credible. */
+class CodecError : public Error
+{
+public:
+    using Error::Error;
+};
+
+/** Elements of one list, and characters of one string, in a message. */
+constexpr std::uint32_t longestList = 1u << 20;
+
+template <typename Archive, typename Tag, typename Rep>
+void save(Archive &archive, const StrongId<Tag, Rep> &id)
+{
+    archive(id.value());
+}
+
+template <typename Archive, typename Tag, typename Rep>
+void load(Archive &archive, StrongId<Tag, Rep> &id)
+{
+    Rep value{};
+    archive(value);
+    id = StrongId<Tag, Rep>(std::move(value));
+}
+
+template <typename Archive, typename Tag, typename Rep>
+void save(Archive &archive, const Quantity<Tag, Rep> &quantity)
+{
+    archive(quantity.value());
+}
+
+template <typename Archive, typename Tag, typename Rep>
+void load(Archive &archive, Quantity<Tag, Rep> &quantity)
+{
+    Rep value{};
+    archive(value);
+    quantity = Quantity<Tag, Rep>(value);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Address &address)
+{
+    archive(address.ip, address.port);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Refusal &refusal)
+{
+    archive(refusal.reason, refusal.certainty);
+}
+
+} // namespace endivedock
+
+namespace cereal {
+
+template <typename Archive, typename Rep, typename Period>
+void save(Archive &archive, const std::chrono::duration<Rep, Period> &duration)
+{
+    archive(static_cast<std::int64_t>(duration.count()));
+}
+
+template <typename Archive, typename Rep, typename Period>
+void load(Archive &archive, std::chrono::duration<Rep, Period> &duration)
+{
+    std::int64_t count = 0;
+    archive(count);
+    duration = std::chrono::duration<Rep, Period>(count);
+}
+
+template <typename Archive>
+void save(Archive &archive, const std::string &text)
+{
+    archive(static_cast<std::uint32_t>(text.size()));
+    archive(binary_data(text.data(), text.size()));
+}
+
+template <typename Archive>
+void load(Archive &archive, std::string &text)
+{
+    std::uint32_t size = 0;
+    archive(size);
+    if (size > endivedock::longestList)
+        throw endivedock::CodecError("a string in a message is too long");
+    text.resize(size);
+    archive(binary_data(text.data(), text.size()));
+}
+
+template <typename Archive, typename T>
+void save(Archive &archive, const std::vector<T> &list)
+{
+    archive(static_cast<std::uint32_t>(list.size()));
+    for (const auto &element : list)
+        archive(element);
+}
+
+template <typename Archive, typename T>
+void load(Archive &archive, std::vector<T> &list)
+{
+    std::uint32_t size = 0;
+    archive(size);
+    if (size > endivedock::longestList)
+        throw endivedock::CodecError("a list in a message is too long");
+    // Grows as elements arrive: a false length ends with the data, before it costs memory.
+    list.clear();
+    for (std::uint32_t i = 0; i < size; ++i) {
+        list.emplace_back();
+        archive(list.back());
+    }
+}
+
+} // namespace cereal
--- a/include/endivedock/dispatch/placement_client-inl.h
+++ b/include/endivedock/dispatch/placement_client-inl.h
@@ -10,13 +10,15 @@
 
 /** Without any sign of a placing host for this long, the stopgap picks. */
 constexpr Milliseconds stopgapAfter{150};
+/** Where the stopgap finds nothing either, a request waits this long for a placing host. */
+constexpr Milliseconds holderPatience{4000};
 /**
  * A grant is used only if the request it answers was sent this lately: a placing host that was
  * paused may have lost its lease between deciding and sending. Shorter than the lease.
  */
 constexpr Milliseconds freshAnswer{700};
 /** Sendings of a report before it is given up; the grant then ends with its deadline. */
-constexpr int mostReportSendings = 40;
+constexpr int mostReportSendings = 20;
 
 } // namespace dispatch_detail
 
@@ -49,24 +51,10 @@
 template <PlacementLink Link>
 Task<std::variant<PlacedTarget, Refusal>>
 PlacementClient<Link>::place(const PlacementRequest &request, TimePoint deadline)
-{
-    const Outcome outcome = co_await ask(request, deadline);
-    if (const auto *placement = std::get_if<Placement>(&outcome))
-        co_return use(request, *placement, deadline, false);
-    if (const auto *refusal = std::get_if<Refusal>(&outcome))
-        co_return *refusal;
-    // Nobody to ask, or the caller has gone.
-    if (SteadyClock().now() >= deadline)
-        co_return Refusal{RefusalReason::DeadlineExceeded, RunCertainty::NotRun};
-    co_return useStopgap(request, deadline);
-}
-
-template <PlacementLink Link>
-Task<typename PlacementClient<Link>::Outcome>
-PlacementClient<Link>::ask(const PlacementRequest &request, TimePoint deadline)
 {
     Pending pending(m_executor);
     pending.service = request.service;
+    pending.lastSign = SteadyClock().now();
     m_pending[request.attempt] = &pending;
     struct Forget
     {
@@ -76,29 +64,51 @@
     } forget{m_pending, request.attempt};
 
     PlacementRequest message = request;
-    TimePoint lastSign = SteadyClock().now();
+    Milliseconds patience = resendTime;
     while (SteadyClock().now() < deadline) {
-        const auto holder = m_link.holderOf(request.service);
-        const TimePoint now = SteadyClock().now();
-        if (holder && pending.asked != holder)
-            lastSign = now;
-        if (!holder && now - lastSign > dispatch_detail::stopgapAfter)
-            co_return Gone{};
-        if (holder) {
-            pending.asked = holder;
-            message.remaining = toMilliseconds(deadline - now);
-            pending.sentAt[message.sending] = now;
-            sendRequest(message, *holder);
-            ++message.sending;
-        }
-        const auto answer = co_await pending.answer.wait(std::min(deadline, now + resendTime));
+        askAgain(pending, message, deadline);
+        const TimePoint until = std::min(deadline, SteadyClock().now() + patience);
+        // Hosts that have much to do must not be asked ever more often by those that wait.
+        patience = std::min(patience * 2, longestResend);
+        const auto answer = co_await pending.answer.wait(until);
+        if (answer && std::holds_alternative<Placement>(*answer))
+            co_return use(request, std::get<Placement>(*answer), deadline, false);
         if (answer)
-            co_return *answer;
+            co_return std::get<Refusal>(*answer);
+        const Duration silent = SteadyClock().now() - pending.lastSign;
+        if (silent < dispatch_detail::stopgapAfter)
+            continue;
+        if (pending.asked)
+            m_link.doubt(request.service, *pending.asked);
+        if (const auto target = pickStopgap(request)) {
+            sendCancel(pending, request.attempt);
+            co_return use(request, Placement{GrantId(0), *target, true}, deadline, true);
+        }
+        if (silent >= dispatch_detail::holderPatience)
+            co_return Refusal{RefusalReason::NoTarget, RunCertainty::NotRun};
     }
     sendCancel(pending, request.attempt);
     co_return Refusal{RefusalReason::DeadlineExceeded, RunCertainty::NotRun};
 }
 
+template <PlacementLink Link>
+void PlacementClient<Link>::askAgain(Pending &pending, PlacementRequest &message,
+                                     TimePoint deadline)
+{
+    const auto holder = m_link.holderOf(message.service);
+    if (!holder)
+        return;
+    const TimePoint now = SteadyClock().now();
+    pending.asked = holder;
+    message.remaining = toMilliseconds(deadline - now);
+    ++message.sending;
+    pending.sentAt[message.sending] = now;
+    if (*holder == m_world.self)
+        m_local.request(message, now);
+    else
+        m_link.send(*holder, message);
+}
+
 template <PlacementLink Link>
 void PlacementClient<Link>::sendCancel(const Pending &pending, const AttemptId &attempt)
 {
@@ -111,15 +121,6 @@
         m_link.send(*pending.asked, cancel);
 }
 
-template <PlacementLink Link>
-void PlacementClient<Link>::sendRequest(PlacementRequest request, HostId holder)
-{
-    if (holder == m_world.self)
-        m_local.request(request, SteadyClock().now());
-    else
-        m_link.send(holder, request);
-}
-
 template <PlacementLink Link>
 std::variant<PlacedTarget, Refusal> PlacementClient<Link>::use(const PlacementRequest &request,
                                                                const Placement &placement,
@@ -149,21 +150,19 @@
 }
 
 template <PlacementLink Link>
-std::variant<PlacedTarget, Refusal>
-PlacementClient<Link>::useStopgap(const PlacementRequest &request, TimePoint deadline)
+std::optional<TargetId> PlacementClient<Link>::pickStopgap(const PlacementRequest &request)
 {
     const auto declarations = m_world.configuration.declarations();
     const Service *service = declarations ? declarations->find(request.service) : nullptr;
-    const Refusal none{RefusalReason::NoTarget, RunCertainty::NotRun};
+    // Retries need the budget, which only the placing host can count.
     if (service == nullptr || request.retry)
-        return none;
+        return std::nullopt;
     const auto target = m_stopgap.pick(*service, m_listed, request.exclude, SteadyClock().now(),
                                        m_world.random);
-    if (!target)
-        return none;
-    m_world.metrics.count("endivedock_stopgap_placements_total",
-                          {{"service", request.service.value()}});
-    return use(request, Placement{GrantId(0), *target, true}, deadline, true);
+    if (target)
+        m_world.metrics.count("endivedock_stopgap_placements_total",
+                              {{"service", request.service.value()}});
+    return target;
 }
 
 template <PlacementLink Link>
@@ -183,7 +182,10 @@
     if (found == m_pending.end()) {
         // Nobody waits any more: an unused grant is given back.
         if (const auto *placement = std::get_if<Placement>(&answer.outcome)) {
-            if (!m_running.contains(answer.attempt)) {
+            const auto running = m_running.find(answer.attempt);
+            const bool inUse = running != m_running.end() &&
+                               running->second.placement.grant == placement->grant;
+            if (!inUse) {
                 AttemptReport unused;
                 unused.attempt = answer.attempt;
                 unused.service = answer.service;
@@ -195,15 +197,22 @@
         return;
     }
     Pending &pending = *found->second;
-    const Duration age = SteadyClock().now() - pending.sentAt[answer.sending];
+    const TimePoint now = SteadyClock().now();
+    if (std::holds_alternative<NotPlacing>(answer.outcome)) {
+        // Asked again with the next sending, of another host.
+        if (pending.asked)
+            m_link.doubt(answer.service, *pending.asked);
+        return;
+    }
+    pending.lastSign = now;
     if (const auto *placement = std::get_if<Placement>(&answer.outcome)) {
         // The placing host answers the newest sending it has; if that one is old, so is the lease
         // under which it decided. A repeated request gets the same grant with a newer sending.
-        if (age <= dispatch_detail::freshAnswer)
+        if (now - pending.sentAt[answer.sending] <= dispatch_detail::freshAnswer)
             pending.answer.deliver(*placement);
-        return;
+    } else if (const auto *refusal = std::get_if<Refusal>(&answer.outcome)) {
+        pending.answer.deliver(*refusal);
     }
-    pending.answer.deliver(std::get<Refusal>(answer.outcome));
 }
 
 template <PlacementLink Link>
@@ -233,7 +242,7 @@
         return;
     }
     const auto holder = m_link.holderOf(report.service);
-    m_unconfirmed[report.attempt] = {report, 1};
+    m_unconfirmed[report.attempt] = {report, 1, SteadyClock().now() + resendTime};
     if (holder && *holder != m_world.self)
         m_link.send(*holder, report);
 }
@@ -247,11 +256,16 @@
 template <PlacementLink Link>
 void PlacementClient<Link>::resendReports()
 {
+    const TimePoint now = SteadyClock().now();
     for (auto entry = m_unconfirmed.begin(); entry != m_unconfirmed.end();) {
         Unconfirmed &unconfirmed = entry->second;
+        if (now < unconfirmed.sendAgainAt) {
+            ++entry;
+            continue;
+        }
         const auto holder = m_link.holderOf(unconfirmed.report.service);
         if (m_local.places(unconfirmed.report.service)) {
-            m_local.finish(unconfirmed.report, SteadyClock().now());
+            m_local.finish(unconfirmed.report, now);
             entry = m_unconfirmed.erase(entry);
             continue;
         }
@@ -262,6 +276,8 @@
         }
         if (holder && *holder != m_world.self)
             m_link.send(*holder, unconfirmed.report);
+        const auto wait = resendTime * (1 << std::min(unconfirmed.sendings, 3));
+        unconfirmed.sendAgainAt = now + std::min<Milliseconds>(wait, longestResend);
         ++entry;
     }
 }
--- a/include/endivedock/dispatch/placement_client.h
+++ b/include/endivedock/dispatch/placement_client.h
@@ -19,7 +19,7 @@
 concept PlacementLink =
         requires(L link, const ServiceId &service, HostId host, PlacementRequest request,
                  AttemptReport report, PlacementCancel cancel) {
-            /** The host that places a service now; nothing where that is not known. */
+            /** The host that places a service now, or may; nothing where none is known. */
             {
                 link.holderOf(service)
             } -> std::same_as<std::optional<HostId>>;
@@ -76,13 +76,12 @@
     InFlightList inFlight(const ServiceId &service) const;
     std::size_t unconfirmedReports() const { return m_unconfirmed.size(); }
 
+    /** First time until a message is repeated; it doubles up to longestResend. */
     static constexpr Milliseconds resendTime{50};
+    static constexpr Milliseconds longestResend{400};
 
 private:
-    struct Gone
-    {
-    };
-    using Outcome = std::variant<Placement, Refusal, Gone>;
+    using Outcome = std::variant<Placement, Refusal>;
     struct Pending
     {
         explicit Pending(const asio::any_io_executor &executor)
@@ -92,6 +91,8 @@
         OneShot<Outcome> answer;
         ServiceId service;
         std::optional<HostId> asked;
+        /** When a placing host last showed that it has the request. */
+        TimePoint lastSign{};
         std::array<TimePoint, 256> sentAt{};
     };
     struct Running
@@ -105,17 +106,16 @@
     {
         AttemptReport report;
         int sendings = 0;
+        TimePoint sendAgainAt{};
     };
 
-    Task<Outcome> ask(const PlacementRequest &request, TimePoint deadline);
-    void sendRequest(PlacementRequest request, HostId holder);
+    void askAgain(Pending &pending, PlacementRequest &message, TimePoint deadline);
     void sendCancel(const Pending &pending, const AttemptId &attempt);
     void sendReport(const AttemptReport &report);
     std::variant<PlacedTarget, Refusal> use(const PlacementRequest &request,
                                             const Placement &placement, TimePoint deadline,
                                             bool stopgap);
-    std::variant<PlacedTarget, Refusal> useStopgap(const PlacementRequest &request,
-                                                   TimePoint deadline);
+    std::optional<TargetId> pickStopgap(const PlacementRequest &request);
     const ListedTarget *findTarget(const TargetId &id) const;
 
     asio::any_io_executor m_executor;
--- a/include/endivedock/dispatch/placement_host.h
+++ b/include/endivedock/dispatch/placement_host.h
@@ -38,7 +38,7 @@
      * @param coldFrom  cold targets get nothing before, unless endTakeover() comes first
      */
     void start(const ServiceId &service, TimePoint coldFrom, TimePoint now, std::int64_t wallMs);
-    /** Stops placing a service; what waits is refused as not run. */
+    /** Stops placing a service; what waits is told to ask elsewhere. */
     void stop(const ServiceId &service);
 
     bool places(const ServiceId &service) const { return m_placers.contains(service); }
--- a/include/endivedock/host/entry_host.h
+++ b/include/endivedock/host/entry_host.h
@@ -25,6 +25,8 @@
 
     /** Shuts down gracefully: finishes what is open, then stops the context. */
     void stop();
+    /** Replaces the keys of the peer protocol; @throws KeyError and keeps the old ones */
+    void setKeys(const std::vector<std::string> &keys);
 
 private:
     class Impl;
--- /dev/null
+++ b/include/endivedock/peers/transport.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "endivedock/net.h"
+#include "endivedock/peers/replay_window.h"
+#include "endivedock/peers/seal.h"
+
+#include <functional>
+#include <string>
+
+namespace endivedock {
+
+/** A message that is authentic but does not decode. */
+class MessageError : public Error
+{
+public:
+    using Error::Error;
+};
+
+/** Who sent a message, and to whom. */
+struct PeerHeader
+{
+    HostId sender;
+    Incarnation incarnation;
+    std::uint64_t sequence = 0;
+    HostId receiver;
+};
+
+/** Counts of datagrams, for metrics; only rise. */
+struct TransportCounters
+{
+    std::uint64_t sent = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t received = 0;
+    std::uint64_t receivedBytes = 0;
+    std::uint64_t unauthentic = 0;
+    std::uint64_t replayed = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t tooLong = 0;
+};
+
+/** How a message type is turned into bytes and back; decode throws MessageError. */
+template <typename C>
+concept MessageCodec = requires(const PeerHeader &header, const typename C::Message &message,
+                                PeerHeader &headerOut, std::string_view text) {
+    {
+        C::encode(header, message)
+    } -> std::same_as<std::string>;
+    {
+        C::decode(text, headerOut)
+    } -> std::same_as<typename C::Message>;
+};
+
+/** Datagrams longer than this risk being split on the way. */
+constexpr std::size_t longestDatagram = 8192;
+constexpr int receiveBufferBytes = 4 << 20;
+
+/**
+ * Datagrams of one host. Lost, reordered, doubled and forged ones are borne: what arrives is
+ * authentic and new, but need not arrive.
+ *
+ * @tparam Codec  of the messages
+ */
+template <MessageCodec Codec>
+class DatagramTransport
+{
+public:
+    using Message = typename Codec::Message;
+    using Handler = std::function<void(const PeerHeader &, Message, Address)>;
+
+    /** @throws boost::system::system_error if @p local cannot be bound */
+    DatagramTransport(asio::any_io_executor executor, const Address &local, HostId self,
+                      Incarnation incarnation, Sealer &sealer, Handler handler)
+        : m_socket(executor, udpEndpoint(local))
+        , m_self(self)
+        , m_incarnation(incarnation)
+        , m_sealer(sealer)
+        , m_handler(std::move(handler))
+    {
+        m_socket.non_blocking(true);
+        // Bursts wait here while the thread is at other work.
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+        startTask(executor, "datagrams", receive());
+    }
+
+    /** Sends at once, or not at all. */
+    void send(HostId receiver, const Address &address, const Message &message)
+    {
+        const PeerHeader header{m_self, m_incarnation, ++m_sequence, receiver};
+        const std::string sealed = m_sealer.seal(Codec::encode(header, message));
+        if (sealed.size() > longestDatagram) {
+            ++m_counters.tooLong;
+            return;
+        }
+        boost::system::error_code ignored;
+        m_socket.send_to(asio::buffer(sealed), udpEndpoint(address), 0, ignored);
+        ++m_counters.sent;
+        m_counters.sentBytes += sealed.size();
+    }
+
+    const TransportCounters &counters() const { return m_counters; }
+
+private:
+    Task<> receive()
+    {
+        std::string buffer(longestDatagram, '\0');
+        while (true) {
+            asio::ip::udp::endpoint from;
+            boost::system::error_code error;
+            const std::size_t size = co_await m_socket.async_receive_from(
+                    asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted)
+                co_return;
+            if (error)
+                continue; // Such as a refusal by a host that has stopped.
+            ++m_counters.received;
+            m_counters.receivedBytes += size;
+            take(std::string_view(buffer.data(), size), from);
+        }
+    }
+
+    void take(std::string_view sealed, const asio::ip::udp::endpoint &from)
+    {
+        const auto plain = m_sealer.open(sealed);
+        if (!plain) {
+            ++m_counters.unauthentic;
+            return;
+        }
+        try {
+            PeerHeader header;
+            Message message = Codec::decode(*plain, header);
+            const bool forUs = header.receiver == m_self && header.sender != m_self;
+            if (!forUs || !m_replays.accept(header.sender, header.incarnation, header.sequence)) {
+                ++m_counters.replayed;
+                return;
+            }
+            m_handler(header, std::move(message), {from.address().to_string(), from.port()});
+        } catch (const MessageError &) {
+            ++m_counters.malformed;
+        }
+    }
+
+    asio::ip::udp::socket m_socket;
+    HostId m_self;
+    Incarnation m_incarnation;
+    Sealer &m_sealer;
+    Handler m_handler;
+    ReplayWindow m_replays;
+    std::uint64_t m_sequence = 0;
+    TransportCounters m_counters;
+};
+
+} // namespace endivedock
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -46,13 +46,23 @@
     bool warm = false;
 };
 
+/** The request waits at the placing host; repeated with each sending. */
+struct PlacementWaits
+{
+};
+
+/** The asked host does not place the service. */
+struct NotPlacing
+{
+};
+
 /** What became of a placement request. */
 struct PlacementAnswer
 {
     AttemptId attempt;
     ServiceId service;
     std::uint8_t sending = 0;
-    std::variant<Placement, Refusal> outcome;
+    std::variant<Placement, Refusal, PlacementWaits, NotPlacing> outcome;
 };
 
 /** The asking host no longer wants a placement. */
@@ -113,6 +123,12 @@
     Milliseconds remaining{0};
 };
 
+/** A new placing host asks what a host has in flight for a service. */
+struct InFlightRequest
+{
+    ServiceId service;
+};
+
 /** All attempts that one host has in flight for one service. */
 struct InFlightList
 {
--- a/include/endivedock/placement/placer-inl.h
+++ b/include/endivedock/placement/placer-inl.h
@@ -208,15 +208,17 @@
 
 template <PickPolicy Policy>
 std::optional<std::size_t> BasicPlacer<Policy>::pickOn(const PlacementRequest &request,
-                                                       MoveSide side, bool suspect, TimePoint now)
+                                                       const PickRules &rules, TimePoint now)
 {
     m_views.clear();
     m_candidates.clear();
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
         const Target &target = m_targets[i];
-        if (!usable(target) || !allowedByMove(target, side))
+        if (!usable(target) || !allowedByMove(target, rules.side))
             continue;
-        if (suspect && target.suspects > 0)
+        if (rules.suspect && target.suspects > 0)
+            continue;
+        if (rules.coldOnly && !target.warmth.cold())
             continue;
         const auto &exclude = request.exclude;
         if (std::find(exclude.begin(), exclude.end(), target.listed.id) != exclude.end())
@@ -232,18 +234,30 @@
     return chosen ? std::optional(m_candidates[*chosen]) : std::nullopt;
 }
 
+template <PickPolicy Policy>
+std::optional<std::size_t> BasicPlacer<Policy>::pickOnSide(const PlacementRequest &request,
+                                                           MoveSide side, TimePoint now)
+{
+    PickRules rules{side, m_suspects.suspect(request.fingerprint, now), true};
+    // Warm targets are faster and would get everything; some requests keep the others warming up.
+    if (drawUnit(m_random) < m_settings.warming.value()) {
+        if (const auto cold = pickOn(request, rules, now))
+            return cold;
+    }
+    rules.coldOnly = false;
+    return pickOn(request, rules, now);
+}
+
 template <PickPolicy Policy>
 std::optional<std::size_t> BasicPlacer<Policy>::pick(const PlacementRequest &request, TimePoint now)
 {
-    const bool suspect = m_suspects.suspect(request.fingerprint, now);
-    const double share = newVersionShare().value();
-    const bool tryNew = m_move && drawUnit(m_random) < share;
+    const bool tryNew = m_move && drawUnit(m_random) < newVersionShare().value();
     if (!tryNew)
-        return pickOn(request, MoveSide::Old, suspect, now);
-    const auto chosen = pickOn(request, MoveSide::New, suspect, now);
+        return pickOnSide(request, MoveSide::Old, now);
+    const auto chosen = pickOnSide(request, MoveSide::New, now);
     // The old version takes what the new one has no room for; never the other way round.
     const bool ended = m_mover && m_mover->progress().phase == MovePhase::Done;
-    return chosen || ended ? chosen : pickOn(request, MoveSide::Old, suspect, now);
+    return chosen || ended ? chosen : pickOnSide(request, MoveSide::Old, now);
 }
 
 template <PickPolicy Policy>
@@ -322,6 +336,7 @@
     if (ticket != m_tickets.end()) {
         // Sent again while it waits; the answer will show that this sending was seen.
         m_waiting.find(ticket->second)->request.sending = request.sending;
+        answers.push_back({request.attempt, m_id, request.sending, PlacementWaits{}});
         return answers;
     }
     const auto granted = m_granted.find(request.attempt);
@@ -465,11 +480,13 @@
 }
 
 template <PickPolicy Policy>
-PlacementAnswers BasicPlacer<Policy>::refuseWaiting(RefusalReason reason)
+PlacementAnswers BasicPlacer<Policy>::handBackWaiting()
 {
     PlacementAnswers answers;
-    while (auto waiting = m_waiting.takeOverdue(TimePoint::max()))
-        answers.push_back(placement_detail::refusal(waiting->request, reason));
+    while (auto waiting = m_waiting.takeOverdue(TimePoint::max())) {
+        const PlacementRequest &request = waiting->request;
+        answers.push_back({request.attempt, m_id, request.sending, NotPlacing{}});
+    }
     m_tickets.clear();
     return answers;
 }
--- a/include/endivedock/placement/placer.h
+++ b/include/endivedock/placement/placer.h
@@ -33,6 +33,8 @@
     Share mostEjected{0.5};
     /** How old the baseline of the targets' times may be. */
     Milliseconds baselineAge{100};
+    /** Part of the requests that go to a cold target with room although a warm one is free. */
+    Share warming{0.05};
 };
 
 /** What a placer did, for metrics; only rises. */
@@ -99,8 +101,8 @@
     PlacementAnswers cancel(const AttemptId &attempt, TimePoint now);
     /** Lets time pass; to be called about every 10 ms while requests wait. */
     PlacementAnswers tick(TimePoint now);
-    /** Refuses all that wait, as when this host stops placing the service. */
-    PlacementAnswers refuseWaiting(RefusalReason reason);
+    /** Sends all that wait elsewhere, as when this host stops placing the service. */
+    PlacementAnswers handBackWaiting();
 
     /**
      * Starts after another host placed: targets cold until trusted to be warm get nothing before
@@ -154,6 +156,13 @@
         TimePoint startedAt;
         TimePoint expires;
     };
+    /** Which targets a pick may consider. */
+    struct PickRules
+    {
+        MoveSide side = MoveSide::Old;
+        bool suspect = false;
+        bool coldOnly = false;
+    };
     struct Waiting
     {
         PlacementRequest request;
@@ -174,7 +183,9 @@
     std::optional<MoveSide> sideOf(const Target &target) const;
     bool allowedByMove(const Target &target, MoveSide wanted) const;
     std::optional<std::size_t> pick(const PlacementRequest &request, TimePoint now);
-    std::optional<std::size_t> pickOn(const PlacementRequest &request, MoveSide side, bool suspect,
+    std::optional<std::size_t> pickOnSide(const PlacementRequest &request, MoveSide side,
+                                          TimePoint now);
+    std::optional<std::size_t> pickOn(const PlacementRequest &request, const PickRules &rules,
                                       TimePoint now);
     Placement grant(const PlacementRequest &request, std::size_t target, TimePoint deadline,
                     TimePoint now);
--- /dev/null
+++ b/include/endivedock/runs/codec.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "endivedock/core/codec.h"
+#include "endivedock/runs/messages.h"
+#include "endivedock/shards/codec.h"
+
+namespace endivedock {
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimId &id)
+{
+    archive(id.host, id.request);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RunRecord &record)
+{
+    archive(record.key, record.claim, record.state, record.remaining);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimRequest &request)
+{
+    archive(request.view, request.key, request.claim);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimAnswer &answer)
+{
+    archive(answer.key, answer.claim, answer.verdict, answer.state, answer.view);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimFinish &finish)
+{
+    archive(finish.key, finish.claim, finish.notRun, finish.state);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RecordSyncRequest &request)
+{
+    archive(request.view, request.shards);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ShardRecords &records)
+{
+    archive(records.shard, records.activeInView, records.activeInPrevious, records.records);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RecordSyncAnswer &answer)
+{
+    archive(answer.view, answer.shards);
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/runs/run_acceptor.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "endivedock/runs/messages.h"
+#include "endivedock/shards/view_map.h"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace endivedock {
+
+/** Times of run records. */
+struct RunSettings
+{
+    /** A key is remembered for this long after its claim. */
+    Milliseconds memory{300'000};
+};
+
+/**
+ * One host's part of the run records. For the shards of which it is a replica it accepts the first
+ * claim of each key and no other. Since it has no disk, it votes only while it can vouch for what
+ * it accepted before: after a restart, or as a new replica, it first collects the records of the
+ * other replicas, or, where too many of those are lost, waits until their records no longer matter.
+ */
+class RunAcceptor
+{
+public:
+    RunAcceptor(HostId self, Incarnation incarnation, RunSettings settings)
+        : m_self(self)
+        , m_incarnation(incarnation)
+        , m_settings(settings)
+    {
+    }
+
+    /** Takes part in @p view from now on, and in no earlier one. Older or equal views are ignored.
+     */
+    void adopt(const View &view, TimePoint now);
+    const View &view() const { return m_view; }
+    const ViewMap &map() const { return m_map; }
+
+    /** @param connected  this host has lately heard of most of its view */
+    ClaimAnswer claim(const ClaimRequest &request, bool connected, TimePoint now);
+    void finish(const ClaimFinish &finish, TimePoint now);
+    /** Forgets what is older than the memory, and ends waits that are over. */
+    void tick(TimePoint now);
+
+    /** @return shards for which records are still to be collected */
+    std::vector<ShardId> recovering() const;
+    /** @return whether this host votes for all shards of which it is a replica */
+    bool active() const;
+    /** @return the hosts whose records are needed for a recovering shard */
+    std::vector<ViewMember> sources(ShardId shard) const;
+    RecordSyncAnswer answerSync(const RecordSyncRequest &request, TimePoint now);
+    /** Takes one host's records; the shard becomes active when enough hosts have answered. */
+    void absorb(HostId source, const RecordSyncAnswer &answer, TimePoint now);
+
+    std::size_t recordCount() const { return m_records.size(); }
+
+private:
+    enum class ShardState { Foreign, Active, Recovering };
+    struct Shard
+    {
+        ShardState state = ShardState::Foreign;
+        /** View up to which this host has all that it accepted. */
+        ViewNumber intactUntil;
+        TimePoint recoveringSince{};
+        std::set<HostId> collected;
+    };
+    struct Stored
+    {
+        ClaimId claim;
+        RunState state = RunState::Claimed;
+        TimePoint forgetAt{};
+    };
+
+    bool restartedSinceView() const;
+    bool firstViewEver() const;
+    std::size_t answersNeeded(ShardId shard) const;
+    void activate(Shard &shard);
+    Shard &shardState(ShardId shard) { return m_shards.at(shard.value()); }
+
+    HostId m_self;
+    Incarnation m_incarnation;
+    RunSettings m_settings;
+    View m_view;
+    ViewMap m_map;
+    ViewMap m_previousMap;
+    std::array<Shard, shardCount> m_shards;
+    std::unordered_map<RunKey, Stored> m_records;
+    std::multimap<TimePoint, RunKey> m_forget;
+};
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/shards/lease_witness.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "endivedock/shards/view_map.h"
+
+#include <array>
+#include <optional>
+
+namespace endivedock {
+
+/** Times of leases. Clocks need not agree; they must run at the same rate within a few percent. */
+struct LeaseSettings
+{
+    Milliseconds term{1500};
+    Milliseconds renewal{400};
+    /** The holder counts a grant as this part of the term, for clocks that run faster than others.
+     */
+    double holderPart = 0.9;
+    /** A replica waits this long more than those before it, when a lease has run out. */
+    Milliseconds rankDelay{250};
+    /** A host that has not heard of most of its view for this long decides nothing. */
+    Milliseconds isolatedAfter{2500};
+    /** A holder that is not the first choice gives way to it after this. */
+    Milliseconds yieldAfter{8000};
+};
+
+/**
+ * Grants the leases of the shards of which this host is a replica. What it granted is not kept on a
+ * disk, so after a start, and for shards that are new to it, it waits until whatever may have been
+ * granted before has run out.
+ */
+class LeaseWitness
+{
+public:
+    LeaseWitness(LeaseSettings settings, TimePoint startedAt);
+
+    /** Takes a new view; @param map of that view, @param self this host */
+    void adopt(const ViewMap &map, HostId self, ViewNumber view, TimePoint now);
+
+    /**
+     * @param connected  this host has lately heard of most of its view
+     * @return whether the lease is granted to this life of the host until now + term
+     */
+    bool grant(ShardId shard, ViewNumber view, HostId holder, Incarnation incarnation,
+               bool connected, TimePoint now);
+    void release(ShardId shard, HostId holder, Incarnation incarnation);
+
+    /** @return who holds the lease as far as this replica knows */
+    std::optional<HostId> holder(ShardId shard, TimePoint now) const;
+    /** @return when the shard was last granted away or is free to be granted */
+    TimePoint freeFrom(ShardId shard) const { return m_records[shard.value()].freeFrom; }
+
+private:
+    struct Record
+    {
+        bool replica = false;
+        HostId holder;
+        Incarnation incarnation;
+        /** The lease runs out, or the wait ends. */
+        TimePoint freeFrom{};
+    };
+
+    LeaseSettings m_settings;
+    TimePoint m_startedAt;
+    ViewNumber m_view;
+    std::array<Record, shardCount> m_records;
+};
+
+} // namespace endivedock
--- a/src/dispatch/placement_host.cpp
+++ b/src/dispatch/placement_host.cpp
@@ -45,7 +45,7 @@
         return;
     const auto placer = std::move(found->second);
     m_placers.erase(found);
-    deliver(placer->refuseWaiting(RefusalReason::NoTarget));
+    deliver(placer->handBackWaiting());
 }
 
 Placer *PlacementHost::placer(const ServiceId &service)
@@ -66,6 +66,8 @@
 {
     if (Placer *found = placer(request.service))
         deliver(found->request(request, now));
+    else
+        m_deliver({request.attempt, request.service, request.sending, NotPlacing{}});
 }
 
 void PlacementHost::finish(const AttemptReport &report, TimePoint now)
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -5,13 +5,9 @@
 #include "endivedock/gateway/gateway_server-inl.h"
 #include "endivedock/store.h"
 
-#include "host_link.h"
-
-#include <sstream>
-
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
+#include "admin_pages.h"
+#include "fleet.h"
+#include "host_runs.h"
 
 namespace endivedock {
 
@@ -19,8 +15,15 @@
 
 constexpr Milliseconds directoryInterval{300};
 constexpr Milliseconds placerTick{10};
-constexpr Milliseconds watchTimeout{30'000};
+constexpr Milliseconds probeTick{100};
+constexpr Milliseconds watchTimeout{20'000};
 constexpr Milliseconds storeRetry{500};
+constexpr Milliseconds viewCheck{500};
+constexpr Milliseconds moveCheck{300};
+constexpr Milliseconds probeTimeout{500};
+constexpr Milliseconds drainCheck{20};
+/** Connections that keep arriving hold up a shutdown no longer than this many drain delays. */
+constexpr int mostDrainDelays = 20;
 
 std::int64_t wallMilliseconds()
 {
@@ -28,6 +31,12 @@
     return std::chrono::duration_cast<Milliseconds>(now).count();
 }
 
+/** A restart gets a greater one, as long as the clock does not go back by the time of a restart. */
+Incarnation newIncarnation()
+{
+    return Incarnation(static_cast<std::uint64_t>(wallMilliseconds()));
+}
+
 } // namespace
 
 class EntryHost::Impl
@@ -39,10 +48,12 @@
         , m_settings(std::move(settings))
         , m_store(m_executor, m_settings.store, m_settings.storeTimeout)
         , m_directory(m_executor, m_settings.directory, m_settings.storeTimeout)
-        , m_link(m_settings.id)
-        , m_placers(m_random, [this](const PlacementAnswer &answer) { m_client.deliver(answer); })
+        , m_placers(m_random, [this](const PlacementAnswer &answer) { passOn(answer); })
+        , m_fleet(m_executor, m_settings, newIncarnation(), m_placers, m_random, m_metrics,
+                  fleetEvents())
         , m_client(m_executor, {m_settings.id, m_configuration, m_metrics, m_random}, m_placers,
-                   m_link)
+                   m_fleet)
+        , m_runs(m_executor, m_settings.id, m_fleet, m_metrics)
         , m_gateway(m_executor, m_settings.listen,
                     {m_settings.id, m_configuration, m_metrics, m_random}, m_client, m_runs)
         , m_admin(m_executor, m_settings.admin,
@@ -51,7 +62,10 @@
         startTask(m_executor, "configuration", followStore());
         startTask(m_executor, "directory", followDirectory());
         startTask(m_executor, "placers", tickPlacers());
+        startTask(m_executor, "probes", probeTargets());
         startTask(m_executor, "reports", resendReports());
+        startTask(m_executor, "view", keepView());
+        startTask(m_executor, "moves", settleMoves());
         m_log.info("Listening", {field("host", m_settings.id),
                                  field("callers", formatAddress(m_gateway.localAddress())),
                                  field("admin", formatAddress(m_admin.localAddress()))});
@@ -66,19 +80,55 @@
         startTask(m_executor, "shutdown", shutDown());
     }
 
+    void setKeys(const std::vector<std::string> &keys)
+    {
+        m_fleet.setKeys(keys);
+        m_log.info("Peer keys replaced", {field("keys", keys.size())});
+    }
+
 private:
+    FleetEvents fleetEvents()
+    {
+        FleetEvents events;
+        events.onCopy = [this](FleetCopy copy) { takeCopy(std::move(copy)); };
+        events.currentCopy = [this] {
+            return FleetCopy{m_configuration.copy(), m_fleet.acceptor().view()};
+        };
+        events.onPlacementAnswer = [this](const PlacementAnswer &answer) {
+            m_client.deliver(answer);
+        };
+        events.onReceipt = [this](const AttemptReportReceipt &receipt) {
+            m_client.deliver(receipt);
+        };
+        events.inFlight = [this](const ServiceId &service) { return m_client.inFlight(service); };
+        events.onClaimAnswer = [this](HostId replica, const ClaimAnswer &answer) {
+            m_runs.deliver(replica, answer);
+        };
+        return events;
+    }
+
+    void passOn(const PlacementAnswer &answer)
+    {
+        if (answer.attempt.host == m_settings.id)
+            m_client.deliver(answer);
+        else
+            m_fleet.send(answer.attempt.host, answer);
+    }
+
+    // --- Configuration ---
+
     Task<> followStore()
     {
         while (true) {
+            // Few hosts read the store, so that its load does not grow with the fleet; a host that
+            // cannot get a configuration from its peers reads as well.
+            if (!m_fleet.readsStore() && m_configuration.declarations()) {
+                co_await sleepFor(storeRetry);
+                continue;
+            }
             try {
-                const StoreSnapshot snapshot =
-                        co_await m_store.list(std::string(declarationPrefix));
-                ConfigurationCopy copy{snapshot.revision, {}};
-                for (const auto &entry : snapshot.entries)
-                    copy.entries.push_back({entry.key, entry.value});
-                offer(std::move(copy));
-                co_await m_store.awaitChange(std::string(declarationPrefix), snapshot.revision,
-                                             watchTimeout);
+                const Revision seen = co_await readStore();
+                co_await m_store.awaitChange("/endivedock/", seen, watchTimeout);
                 continue;
             } catch (const Error &error) {
                 m_metrics.count("endivedock_store_failures_total");
@@ -88,6 +138,29 @@
         }
     }
 
+    /** @return the store's revision from which on changes are news */
+    Task<Revision> readStore()
+    {
+        const StoreSnapshot snapshot = co_await m_store.list(std::string(declarationPrefix));
+        ConfigurationCopy copy;
+        for (const auto &entry : snapshot.entries) {
+            copy.entries.push_back({entry.key, entry.value});
+            copy.revision = std::max(copy.revision, entry.modified);
+        }
+        const auto view = co_await m_store.get(std::string(viewKey));
+        if (view)
+            m_fleet.adoptView(parseView(view->value, ViewNumber(view->modified.value())));
+        m_viewRead = true;
+        offer(std::move(copy));
+        co_return snapshot.revision;
+    }
+
+    void takeCopy(FleetCopy copy)
+    {
+        m_fleet.adoptView(copy.view);
+        offer(std::move(copy.configuration));
+    }
+
     void offer(ConfigurationCopy copy)
     {
         const OfferOutcome outcome = m_configuration.offer(std::move(copy));
@@ -99,17 +172,44 @@
             return;
         m_log.info("Configuration in force", {field("revision", m_configuration.revision())});
         const auto declarations = m_configuration.declarations();
-        const TimePoint now = SteadyClock().now();
-        m_placers.configure(declarations, now, wallMilliseconds());
-        for (const auto &[id, service] : declarations->services)
-            m_placers.start(id, now, now, wallMilliseconds());
+        m_placers.configure(declarations, SteadyClock().now(), wallMilliseconds());
+        m_fleet.configurationChanged(declarations, m_configuration.revision());
     }
 
+    /** Writes a new view when hosts have come or gone. */
+    Task<> keepView()
+    {
+        while (true) {
+            co_await sleepFor(viewCheck);
+            if (!m_viewRead)
+                continue;
+            const auto next = m_fleet.proposal();
+            if (!next)
+                continue;
+            try {
+                const Revision known(next->previousNumber.value());
+                std::vector<Swap> swaps{{std::string(viewKey), known, formatView(*next)}};
+                const SwapResult result = co_await swapAndSettle(m_store, std::move(swaps));
+                const auto present = co_await m_store.get(std::string(viewKey));
+                if (present)
+                    m_fleet.adoptView(
+                            parseView(present->value, ViewNumber(present->modified.value())));
+                m_metrics.count("endivedock_view_changes_total",
+                                {{"outcome", result.swapped ? "made" : "lost"}});
+            } catch (const Error &error) {
+                m_log.warning("The view could not be written", {field("error", error.what())});
+            }
+        }
+    }
+
+    // --- Targets ---
+
     Task<> followDirectory()
     {
         while (true) {
             try {
                 Listing listing = co_await m_directory.list();
+                m_fleet.listingChanged(listing.hosts);
                 m_placers.setTargets(listing.targets, SteadyClock().now());
                 m_client.setTargets(std::move(listing.targets));
             } catch (const DirectoryError &error) {
@@ -128,6 +228,42 @@
         }
     }
 
+    Task<> probeTargets()
+    {
+        while (true) {
+            co_await sleepFor(probeTick);
+            for (const auto &service : m_placers.services()) {
+                for (auto &order : m_placers.placer(service)->dueProbes(SteadyClock().now()))
+                    startTask(m_executor, "probe", probe(service, std::move(order)));
+            }
+        }
+    }
+
+    Task<> probe(ServiceId service, ProbeOrder order)
+    {
+        std::optional<Incarnation> incarnation;
+        bool draining = false;
+        try {
+            TargetConnection connection(m_executor);
+            const TimePoint deadline = SteadyClock().now() + probeTimeout;
+            co_await connection.connect(order.address, deadline);
+            connection.setDeadline(deadline);
+            RequestHead head;
+            head.method = "GET";
+            head.path = order.path;
+            co_await connection.sendHead(head);
+            co_await connection.endRequest();
+            const AnswerHead answer = co_await connection.readHead();
+            const TargetReport report = parseTargetReport(answer.fields);
+            incarnation = report.incarnation.value_or(Incarnation(0));
+            draining = report.draining;
+        } catch (const Error &) {
+            m_metrics.count("endivedock_probe_failures_total", {{"service", service.value()}});
+        }
+        if (Placer *placer = m_placers.placer(service))
+            placer->probed(order.target, incarnation, draining, SteadyClock().now());
+    }
+
     Task<> resendReports()
     {
         while (true) {
@@ -136,9 +272,57 @@
         }
     }
 
-    /** Serves until the balancer has stopped sending, then finishes what is open. */
+    /** Writes the verdicts of ended moves to the store, as soon as it can be reached. */
+    Task<> settleMoves()
+    {
+        while (true) {
+            co_await sleepFor(moveCheck);
+            for (const auto &service : m_placers.services()) {
+                try {
+                    co_await settleMove(service);
+                } catch (const Error &error) {
+                    m_log.warning("A verdict could not be written",
+                                  {field("service", service), field("error", error.what())});
+                }
+            }
+        }
+    }
+
+    Task<> settleMove(ServiceId service)
+    {
+        const auto declarations = m_configuration.declarations();
+        const Service *declared = declarations ? declarations->find(service) : nullptr;
+        Placer *placer = m_placers.placer(service);
+        if (declared == nullptr || placer == nullptr || !declared->move)
+            co_return;
+        const auto progress = placer->moveProgress();
+        const bool ended = progress && progress->phase >= MovePhase::Done;
+        if (!ended || declared->move->state != MoveState::Running)
+            co_return;
+        VersionMove move = *declared->move;
+        const bool done = progress->phase == MovePhase::Done;
+        move.state = done ? MoveState::Done : MoveState::TakenBack;
+        const auto present = co_await m_store.get(moveKey(service));
+        if (!present)
+            co_return;
+        const auto value = parseJson(present->value, present->key);
+        const VersionMove stored = parseMove(JsonNode(value, present->key));
+        if (stored.number != move.number || stored.state != MoveState::Running)
+            co_return;
+        std::vector<Swap> swaps{{present->key, present->modified, formatMove(move)}};
+        const SwapResult result = co_await swapAndSettle(m_store, std::move(swaps));
+        if (result.swapped)
+            m_log.info("Move ended",
+                       {field("service", service), field("verdict", name(progress->phase)),
+                        field("cause", name(progress->cause))});
+    }
+
+    // --- Shutdown ---
+
+    /** Hands on what this host holds, serves until the balancer has stopped sending, and ends. */
     Task<> shutDown()
     {
+        m_fleet.leave();
         const TimePoint toldAt = SteadyClock().now();
         while (true) {
             const TimePoint now = SteadyClock().now();
@@ -146,80 +330,22 @@
             const bool longEnough = now - toldAt >= m_settings.drainDelay * mostDrainDelays;
             if (now - toldAt >= m_settings.drainDelay && (quiet || longEnough))
                 break;
-            co_await sleepFor(Milliseconds(20));
+            co_await sleepFor(drainCheck);
         }
         m_gateway.stopAccepting();
-        while (m_gateway.openConnections() > 0)
-            co_await sleepFor(Milliseconds(20));
+        while (m_gateway.openConnections() > 0 || m_client.unconfirmedReports() > 0)
+            co_await sleepFor(drainCheck);
         m_log.info("Stopped");
         m_context.stop();
     }
 
     Task<HttpResult> adminPage(HttpCall call)
     {
-        if (call.path == "/metrics")
-            co_return HttpResult{200, "text/plain; version=0.0.4", m_metrics.text()};
-        if (call.path == "/ready")
-            co_return HttpResult{m_leaving || !m_configuration.declarations() ? 503u : 200u,
-                                 "text/plain", m_leaving ? "leaving\n" : "ready\n"};
-        if (call.path == "/status")
-            co_return HttpResult{200, "application/json", statusText()};
-        if (call.path == "/fleet")
-            co_return HttpResult{200, "application/json", fleetText()};
-        co_return HttpResult{404, "text/plain", "no such page\n"};
-    }
-
-    std::string fleetText() const
-    {
-        boost::json::object self;
-        self["host"] = m_settings.id.value();
-        self["zone"] = m_settings.zone.value();
-        self["state"] = m_leaving ? "leaving" : "live";
-        self["revision"] = m_configuration.revision().value();
-        self["ageMs"] = 0;
-        boost::json::object fleet;
-        fleet["hosts"] = boost::json::array{self};
-        return boost::json::serialize(fleet) + "\n";
-    }
-
-    std::string statusText()
-    {
-        boost::json::object status;
-        status["host"] = m_settings.id.value();
-        status["zone"] = m_settings.zone.value();
-        status["revision"] = m_configuration.revision().value();
-        status["leaving"] = m_leaving;
-        boost::json::object services;
-        for (const auto &id : m_placers.services())
-            services[id.value()] = serviceStatus(*m_placers.placer(id));
-        status["places"] = std::move(services);
-        return boost::json::serialize(status) + "\n";
-    }
-
-    static boost::json::object serviceStatus(const Placer &placer)
-    {
-        boost::json::object status;
-        status["waiting"] = placer.waiting();
-        status["inFlight"] = placer.inFlight();
-        boost::json::array targets;
-        for (const auto &target : placer.targets(SteadyClock().now())) {
-            boost::json::object entry;
-            entry["target"] = target.id.value();
-            entry["zone"] = target.zone.value();
-            entry["version"] = target.version.value();
-            entry["inFlight"] = target.inFlight.value();
-            entry["limit"] = target.limit.value();
-            entry["cold"] = target.cold;
-            entry["leaving"] = target.leaving;
-            entry["ejected"] = target.ejected;
-            targets.push_back(std::move(entry));
-        }
-        status["targets"] = std::move(targets);
-        return status;
+        const HostView view{m_settings, m_configuration, m_placers, m_fleet,
+                            m_metrics,  m_store.calls(), m_leaving};
+        co_return renderAdminPage(call.path, view);
     }
 
-    static constexpr int mostDrainDelays = 20;
-
     asio::io_context &m_context;
     asio::any_io_executor m_executor;
     HostSettings m_settings;
@@ -228,12 +354,13 @@
     NewestConfiguration m_configuration;
     EtcdStore m_store;
     HttpDirectory m_directory;
-    HostLink m_link;
-    HostRuns m_runs;
     PlacementHost m_placers;
-    PlacementClient<HostLink> m_client;
-    GatewayServer<PlacementClient<HostLink>, HostRuns> m_gateway;
+    Fleet m_fleet;
+    PlacementClient<Fleet> m_client;
+    HostRuns m_runs;
+    GatewayServer<PlacementClient<Fleet>, HostRuns> m_gateway;
     HttpServer m_admin;
+    bool m_viewRead = false;
     bool m_leaving = false;
     Log m_log{"host"};
 };
@@ -250,4 +377,9 @@
     m_impl->stop();
 }
 
+void EntryHost::setKeys(const std::vector<std::string> &keys)
+{
+    m_impl->setKeys(keys);
+}
+
 } // namespace endivedock
--- /dev/null
+++ b/src/host/fleet.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "endivedock/config.h"
+#include "endivedock/dispatch.h"
+#include "endivedock/host/settings.h"
+#include "endivedock/membership.h"
+#include "endivedock/runs.h"
+#include "endivedock/shards.h"
+
+#include "peer_message.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace endivedock {
+
+/** What the fleet tells the rest of its host. */
+struct FleetEvents
+{
+    std::function<void(FleetCopy)> onCopy;
+    std::function<FleetCopy()> currentCopy;
+    std::function<void(const PlacementAnswer &)> onPlacementAnswer;
+    std::function<void(const AttemptReportReceipt &)> onReceipt;
+    std::function<InFlightList(const ServiceId &)> inFlight;
+    std::function<void(HostId, const ClaimAnswer &)> onClaimAnswer;
+};
+
+/**
+ * This host's part in the fleet: what it knows of the others, the view, the leases that it grants
+ * and holds, the run records, and the messages. One task talks to each peer: it fetches what the
+ * peer has newer, collects its run records, and renews leases with it. Questions that callers wait
+ * for are answered as they arrive.
+ */
+class Fleet
+{
+public:
+    /** @param placers  the services that this host places; follows its leases */
+    Fleet(asio::any_io_executor executor, const HostSettings &settings, Incarnation incarnation,
+          PlacementHost &placers, Random &random, Metrics &metrics, FleetEvents events);
+
+    // As PlacementLink requires.
+    std::optional<HostId> holderOf(const ServiceId &service);
+    void send(HostId host, const PeerMessage &message);
+    void doubt(const ServiceId &service, HostId host);
+    std::size_t entryHosts() const;
+
+    /** Tells the others of a newer configuration at once. */
+    void configurationChanged(std::shared_ptr<const Declarations> declarations, Revision revision);
+    void adoptView(const View &view);
+    void listingChanged(const std::vector<ListedHost> &hosts);
+    /** Hands on what this host holds and takes over nothing more. */
+    void leave();
+    void setKeys(const std::vector<std::string> &keys) { m_sealer.setKeys(keys); }
+
+    /** @return whether this host is one of the few that read the platform's store */
+    bool readsStore() const;
+    /** @return the view to be written to the store, if this host is to propose one now */
+    std::optional<View> proposal() const;
+    /** @return whether this host votes, and knows who places each service */
+    bool ready() const;
+    bool connected(TimePoint now) const;
+
+    RunAcceptor &acceptor() { return m_acceptor; }
+    const MemberTable &members() const { return m_members; }
+    const TransportCounters &counters() const { return m_datagrams.counters(); }
+    std::size_t heldShards() const;
+
+private:
+    struct Peer
+    {
+        explicit Peer(const asio::any_io_executor &executor)
+            : wake(executor)
+        {
+        }
+        asio::steady_timer wake;
+        bool running = false;
+    };
+    struct Notes
+    {
+        HolderNotes notes;
+        TimePoint receivedAt;
+    };
+    /** Whose lists of attempts in flight are still awaited for a service that was taken over. */
+    struct Takeover
+    {
+        std::set<HostId> awaited;
+        TimePoint until;
+    };
+
+    // The tasks.
+    Task<> gossip();
+    Task<> talkTo(HostId id);
+    Task<> keepLeases();
+    Task<> fetchCopy(MemberState peer);
+    Task<> collectRecords(HostId peer);
+
+    // Messages, each handled as it arrives.
+    void take(const PeerHeader &header, PeerMessage message, const Address &from);
+    void handle(HostId from, const Heartbeat &heartbeat);
+    void handle(HostId from, const PlacementRequest &request);
+    void handle(HostId from, const PlacementAnswer &answer);
+    void handle(HostId from, const PlacementCancel &cancel);
+    void handle(HostId from, const AttemptReport &report);
+    void handle(HostId from, const AttemptReportReceipt &receipt);
+    void handle(HostId from, const InFlightRequest &request);
+    void handle(HostId from, const InFlightList &list);
+    void handle(HostId from, const LeaseRequest &request);
+    void handle(HostId from, const LeaseAnswer &answer);
+    void handle(HostId from, const LeaseRelease &release);
+    void handle(HostId from, const HolderNotes &notes);
+    void handle(HostId from, const ClaimRequest &request);
+    void handle(HostId from, const ClaimAnswer &answer);
+    void handle(HostId from, const ClaimFinish &finish);
+    template <typename Other>
+    void handle(HostId, const Other &)
+    {
+    }
+    std::optional<PeerMessage> answerStream(const PeerHeader &header, const PeerMessage &question);
+
+    void startPeer(HostId id);
+    void wakePeers();
+    void tellSome(std::size_t count);
+    void renewLeases(TimePoint now);
+    void followLeases(TimePoint now);
+    void startServices(ShardId shard, TimePoint now);
+    void stopServices(ShardId shard);
+    void startTakeover(const ServiceId &service, TimePoint now);
+    void continueTakeovers(TimePoint now);
+    void sendNotes();
+    void yieldShards(TimePoint now);
+    void releaseShard(ShardId shard);
+    void updateSelf();
+    std::vector<Candidate> candidates(TimePoint now) const;
+    std::optional<HostId> knownHolder(ShardId shard, TimePoint now) const;
+    bool doubted(ShardId shard, HostId host, TimePoint now) const;
+
+    asio::any_io_executor m_executor;
+    HostSettings m_settings;
+    Incarnation m_incarnation;
+    PlacementHost &m_placers;
+    Random &m_random;
+    Metrics &m_metrics;
+    FleetEvents m_events;
+    Sealer m_sealer;
+    MemberTable m_members;
+    LeaseSettings m_leaseSettings;
+    LeaseWitness m_witness;
+    LeaseHolder m_holder;
+    RunAcceptor m_acceptor;
+    DatagramTransport<PeerCodec> m_datagrams;
+    StreamTransport<PeerCodec> m_streams;
+    std::shared_ptr<const Declarations> m_declarations;
+    Revision m_revision;
+    std::map<HostId, std::unique_ptr<Peer>> m_peers;
+    std::map<ServiceId, Notes> m_notes;
+    std::map<ServiceId, Takeover> m_takeovers;
+    std::map<std::pair<ShardId, HostId>, TimePoint> m_doubts;
+    std::array<bool, shardCount> m_holding{};
+    std::array<TimePoint, shardCount> m_heldSince{};
+    std::array<TimePoint, shardCount> m_yieldedUntil{};
+    std::set<HostId> m_listed;
+    bool m_listingKnown = false;
+    bool m_leaving = false;
+    TimePoint m_viewAdoptedAt{};
+    Log m_log{"fleet"};
+};
+
+} // namespace endivedock
--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,178 @@
+#include "endivedock/membership/member_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace endivedock {
+
+namespace {
+
+bool later(const MemberState &a, const MemberState &b)
+{
+    return std::tie(a.incarnation, a.beat) > std::tie(b.incarnation, b.beat);
+}
+
+bool sameButBeat(const MemberState &a, const MemberState &b)
+{
+    return a.incarnation == b.incarnation && a.leaving == b.leaving &&
+           a.configuration == b.configuration && a.view == b.view && a.activeView == b.activeView &&
+           a.heldShards == b.heldShards;
+}
+
+template <typename T>
+void shuffleFirst(std::vector<T> &items, std::size_t count, Random &random)
+{
+    for (std::size_t i = 0; i < std::min(count, items.size()); ++i)
+        std::swap(items[i], items[i + drawBelow(random, items.size() - i)]);
+    items.resize(std::min(count, items.size()));
+}
+
+} // namespace
+
+std::string_view name(Liveness liveness)
+{
+    switch (liveness) {
+    case Liveness::Live:
+        return "live";
+    case Liveness::Suspect:
+        return "suspect";
+    case Liveness::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
+MemberTable::MemberTable(MemberState self, GossipSettings settings, TimePoint now)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_startedAt(now)
+{
+}
+
+void MemberTable::updateSelf(MemberState self)
+{
+    self.beat = m_self.beat + 1;
+    m_self = std::move(self);
+}
+
+std::vector<HostId> MemberTable::merge(const Heartbeat &heartbeat, TimePoint now)
+{
+    std::vector<HostId> changed;
+    for (const auto &state : heartbeat.members) {
+        if (state.id == m_self.id)
+            continue;
+        const auto [known, isNew] = m_others.try_emplace(state.id, KnownMember{state, now});
+        if (isNew) {
+            changed.push_back(state.id);
+            continue;
+        }
+        if (!later(state, known->second.state))
+            continue;
+        if (!sameButBeat(state, known->second.state))
+            changed.push_back(state.id);
+        known->second = {state, now};
+    }
+    return changed;
+}
+
+void MemberTable::addSeed(const HostId &id, const RegionId &region, const ZoneId &zone,
+                          const Address &address, TimePoint now)
+{
+    if (id == m_self.id)
+        return;
+    MemberState state;
+    state.id = id;
+    state.region = region;
+    state.zone = zone;
+    state.address = address;
+    // Known by hearsay only: dead until it speaks for itself.
+    m_others.try_emplace(id, KnownMember{state, now - m_settings.deadAfter});
+}
+
+Liveness MemberTable::liveness(const HostId &id, TimePoint now) const
+{
+    if (id == m_self.id)
+        return Liveness::Live;
+    const auto found = m_others.find(id);
+    if (found == m_others.end())
+        return Liveness::Dead;
+    const Duration silent = now - found->second.lastAdvance;
+    if (silent >= m_settings.deadAfter)
+        return Liveness::Dead;
+    return silent >= m_settings.suspectAfter ? Liveness::Suspect : Liveness::Live;
+}
+
+bool MemberTable::live(const HostId &id, TimePoint now) const
+{
+    return liveness(id, now) == Liveness::Live;
+}
+
+const MemberState *MemberTable::find(const HostId &id) const
+{
+    if (id == m_self.id)
+        return &m_self;
+    const auto found = m_others.find(id);
+    return found == m_others.end() ? nullptr : &found->second.state;
+}
+
+Duration MemberTable::age(const HostId &id, TimePoint now) const
+{
+    const auto found = m_others.find(id);
+    return found == m_others.end() ? Duration::zero() : now - found->second.lastAdvance;
+}
+
+std::size_t MemberTable::liveCount(TimePoint now) const
+{
+    const auto count = std::count_if(m_others.begin(), m_others.end(),
+                                     [&](const auto &entry) { return live(entry.first, now); });
+    return static_cast<std::size_t>(count) + 1;
+}
+
+void MemberTable::beat(TimePoint now)
+{
+    ++m_self.beat;
+    std::erase_if(m_others, [&](const auto &entry) {
+        return now - entry.second.lastAdvance >= m_settings.forgetAfter;
+    });
+}
+
+std::vector<HostId> MemberTable::gossipPeers(TimePoint now, Random &random) const
+{
+    std::vector<HostId> peers;
+    std::vector<HostId> silent;
+    for (const auto &[id, member] : m_others)
+        (liveness(id, now) == Liveness::Dead ? silent : peers).push_back(id);
+    shuffleFirst(peers, m_settings.fanout, random);
+    // One of the silent ones as well, so that a healed partition is noticed.
+    shuffleFirst(silent, 1, random);
+    peers.insert(peers.end(), silent.begin(), silent.end());
+    return peers;
+}
+
+Heartbeat MemberTable::makeHeartbeat(Random &random) const
+{
+    std::vector<const KnownMember *> known;
+    for (const auto &[id, member] : m_others) {
+        if (member.state.beat > 0)
+            known.push_back(&member);
+    }
+    // Half of the places go to the freshest states, which spread a change quickly; half are drawn,
+    // so that no state is left out for long.
+    const std::size_t places = m_settings.statesPerHeartbeat - 1;
+    const std::size_t freshest = std::min(places / 2, known.size());
+    std::partial_sort(known.begin(), known.begin() + static_cast<std::ptrdiff_t>(freshest),
+                      known.end(), [](const KnownMember *a, const KnownMember *b) {
+                          return a->lastAdvance > b->lastAdvance;
+                      });
+    std::vector<const KnownMember *> rest(known.begin() + static_cast<std::ptrdiff_t>(freshest),
+                                          known.end());
+    known.resize(freshest);
+    shuffleFirst(rest, places - freshest, random);
+    known.insert(known.end(), rest.begin(), rest.end());
+    Heartbeat heartbeat{{m_self}};
+    for (const auto *member : known)
+        heartbeat.members.push_back(member->state);
+    return heartbeat;
+}
+
+} // namespace endivedock
