--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -85,8 +85,8 @@
         self.targets = {}
 
     def start_process(self, name, arguments):
-        log = open(os.path.join(self.dir, name + ".log"), "ab")
-        process = subprocess.Popen(arguments, stdout=log, stderr=log)
+        with open(os.path.join(self.dir, name + ".log"), "ab") as log:
+            process = subprocess.Popen(arguments, stdout=log, stderr=log)
         self.processes[name] = process
         return process
 
--- a/tools/platform_standin.cpp
+++ b/tools/platform_standin.cpp
@@ -199,6 +199,8 @@
             succeeded = succeeded && holds(compare.as_object());
         json::array responses;
         const char *branch = succeeded ? "success" : "failure";
+        // All writes of one transaction have one revision.
+        m_revision += succeeded ? 1 : 0;
         if (request.contains(branch)) {
             for (const auto &operation : request.at(branch).as_array())
                 responses.push_back(apply(operation.as_object()));
@@ -216,7 +218,6 @@
         if (operation.contains("request_range"))
             return {{"response_range", range(operation.at("request_range").as_object())}};
         const json::object &put = operation.at("request_put").as_object();
-        ++m_revision;
         Value &value = m_values[decoded(put, "key")];
         value.text = decoded(put, "value");
         value.created = value.created == 0 ? m_revision : value.created;
