--- a/src/moves/version_mover.cpp
+++ b/src/moves/version_mover.cpp
@@ -23,7 +23,9 @@
 /** Answers that are enough when the plan's time for the step has passed. */
 constexpr int answersWhenLate = 10;
 /** A step takes at least the plan's time for it divided by this. */
-constexpr int fastestStep = 6;
+constexpr int fastestStep = 2;
+/** A move is done no earlier than after this part of its time, so that late faults are seen. */
+constexpr double settledAfter = 0.75;
 /** The steps share the time to the deadline with one part of settling and one of reserve. */
 constexpr int planParts = static_cast<int>(shares.size()) + 2;
 
@@ -263,6 +265,10 @@
         return false;
     if (!late && !m_evidence.routesCovered())
         return false;
+    const std::chrono::duration<double> whole = m_times.deadline - m_times.startedAt;
+    const bool settling = m_machine->phase() == MovePhase::Settling;
+    if (settling && now - m_times.startedAt < whole * settledAfter)
+        return false;
     m_machine->process_event(Advance{});
     m_evidence.resetStep();
     m_stepStartedAt = now;
