--- a/include/endivedock/core/time.h
+++ b/include/endivedock/core/time.h
@@ -44,4 +44,11 @@
     return std::chrono::duration_cast<Milliseconds>(duration);
 }
 
+/** @return the wall clock, in milliseconds since 1970; only for what outlives a process */
+inline std::int64_t wallMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Milliseconds>(now).count();
+}
+
 } // namespace endivedock
--- a/include/endivedock/shards/lease_witness.h
+++ b/include/endivedock/shards/lease_witness.h
@@ -11,7 +11,7 @@
 struct LeaseSettings
 {
     Milliseconds term{1500};
-    Milliseconds renewal{400};
+    Milliseconds renewal{600};
     /** Time between two tries to take over a shard that nobody holds. */
     Milliseconds takeoverRetry{100};
     /** The holder counts a grant as this part of the term, for clocks that run faster than others.
--- a/include/endivedock/shards/view_map.h
+++ b/include/endivedock/shards/view_map.h
@@ -13,6 +13,12 @@
 constexpr std::size_t replicaCount = 3;
 constexpr std::size_t replicaMajority = 2;
 
+/** @return the shard at a position, 0 to shardCount - 1 */
+inline ShardId shardAt(std::size_t index)
+{
+    return ShardId(static_cast<std::uint16_t>(index));
+}
+
 /** @return the shard of a service, whatever the view */
 ShardId shardOf(const ServiceId &service);
 /** @return the shard of an idempotency key, whatever the view */
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
-# Measures what docs/CAPACITY.md is worked out from.
+# Measures what docs/CAPACITY.md is worked out from: scripts/slopes.sh [HOSTS]...
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
 build/benchmark/slopes_benchmark
+echo
+exec python3 scripts/idle_cost.py "$@"
--- a/src/control/operator_store.cpp
+++ b/src/control/operator_store.cpp
@@ -18,12 +18,6 @@
     return std::string(authorPrefix) + key;
 }
 
-std::int64_t wallMilliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<Milliseconds>(now).count();
-}
-
 std::string formatAuthor(const Author &author)
 {
     boost::json::object object;
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -25,12 +25,6 @@
 /** Connections that keep arriving hold up a shutdown no longer than this many drain delays. */
 constexpr int mostDrainDelays = 20;
 
-std::int64_t wallMilliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<Milliseconds>(now).count();
-}
-
 /** A restart gets a greater one, as long as the clock does not go back by the time of a restart. */
 Incarnation newIncarnation()
 {
--- a/src/host/fleet.h
+++ b/src/host/fleet.h
@@ -17,6 +17,9 @@
 
 namespace endivedock {
 
+/** Peers that are told of a change at once; each tells as many others. */
+constexpr std::size_t rumourFanout = 3;
+
 /** What the fleet tells the rest of its host. */
 struct FleetEvents
 {
--- a/src/runs/run_acceptor.cpp
+++ b/src/runs/run_acceptor.cpp
@@ -4,15 +4,6 @@
 
 namespace endivedock {
 
-namespace {
-
-ShardId shardAt(std::size_t index)
-{
-    return ShardId(static_cast<std::uint16_t>(index));
-}
-
-} // namespace
-
 bool RunAcceptor::restartedSinceView() const
 {
     const ViewMember *self = findMember(m_view.members, m_self);
--- a/tests/runs/runs_test.cpp
+++ b/tests/runs/runs_test.cpp
@@ -362,14 +362,11 @@
         RunAcceptor first = makeAcceptor(1);
         RunAcceptor second = makeAcceptor(2);
         CPPUNIT_ASSERT(claim(first, 1) == ClaimVerdict::Accepted);
-        RunAcceptor restarted(HostId(3), Incarnation(2), RunSettings{memory});
-        restarted.adopt(m_view, m_now);
+        RunAcceptor restarted = makeRestarted();
         CPPUNIT_ASSERT(claim(restarted, 2) == ClaimVerdict::NotReady);
-        const RecordSyncRequest request{m_view, restarted.recovering()};
-        const ReplicaLife asker{HostId(3), Incarnation(2)};
-        restarted.absorb(HostId(2), second.answerSync(request, asker, m_now), m_now);
+        collect(restarted, 2, second);
         CPPUNIT_ASSERT(!restarted.active());
-        restarted.absorb(HostId(1), first.answerSync(request, asker, m_now), m_now);
+        collect(restarted, 1, first);
         CPPUNIT_ASSERT(restarted.active());
         CPPUNIT_ASSERT(claim(restarted, 2) == ClaimVerdict::Taken);
     }
@@ -382,12 +379,9 @@
         RunAcceptor third = makeAcceptor(3);
         ClaimVote vote({HostId(1), HostId(2), HostId(3)});
         vote.take(HostId(3), third.claim(makeClaim(1), true, m_now));
-        RunAcceptor restarted(HostId(3), Incarnation(2), RunSettings{memory});
-        restarted.adopt(m_view, m_now);
-        const RecordSyncRequest request{m_view, restarted.recovering()};
-        const ReplicaLife asker{HostId(3), Incarnation(2)};
-        restarted.absorb(HostId(1), first.answerSync(request, asker, m_now), m_now);
-        restarted.absorb(HostId(2), second.answerSync(request, asker, m_now), m_now);
+        RunAcceptor restarted = makeRestarted();
+        collect(restarted, 1, first);
+        collect(restarted, 2, second);
         CPPUNIT_ASSERT(claim(restarted, 2) == ClaimVerdict::Accepted);
         CPPUNIT_ASSERT(claim(second, 2) == ClaimVerdict::Accepted);
         vote.take(HostId(1), first.claim(makeClaim(1), true, m_now));
@@ -399,11 +393,8 @@
     {
         RunAcceptor first = makeAcceptor(1);
         CPPUNIT_ASSERT(claim(first, 1) == ClaimVerdict::Accepted);
-        RunAcceptor restarted(HostId(3), Incarnation(2), RunSettings{memory});
-        restarted.adopt(m_view, m_now);
-        const RecordSyncRequest request{m_view, restarted.recovering()};
-        const ReplicaLife asker{HostId(3), Incarnation(2)};
-        restarted.absorb(HostId(1), first.answerSync(request, asker, m_now), m_now);
+        RunAcceptor restarted = makeRestarted();
+        collect(restarted, 1, first);
         CPPUNIT_ASSERT(claim(restarted, 1) == ClaimVerdict::NotReady);
         CPPUNIT_ASSERT(claim(restarted, 2) == ClaimVerdict::Taken);
     }
@@ -415,12 +406,9 @@
         RunAcceptor second = makeAcceptor(2);
         claim(first, 1);
         claim(second, 2);
-        RunAcceptor restarted(HostId(3), Incarnation(2), RunSettings{memory});
-        restarted.adopt(m_view, m_now);
-        const RecordSyncRequest request{m_view, restarted.recovering()};
-        const ReplicaLife asker{HostId(3), Incarnation(2)};
-        restarted.absorb(HostId(2), second.answerSync(request, asker, m_now), m_now);
-        restarted.absorb(HostId(1), first.answerSync(request, asker, m_now), m_now);
+        RunAcceptor restarted = makeRestarted();
+        collect(restarted, 2, second);
+        collect(restarted, 1, first);
         CPPUNIT_ASSERT(restarted.active());
         CPPUNIT_ASSERT(claim(restarted, 1) == ClaimVerdict::Taken);
         CPPUNIT_ASSERT(claim(restarted, 2) == ClaimVerdict::Taken);
@@ -435,12 +423,9 @@
         claim(first, 1);
         m_now += Seconds(30);
         claim(second, 2);
-        RunAcceptor restarted(HostId(3), Incarnation(2), RunSettings{memory});
-        restarted.adopt(m_view, m_now);
-        const RecordSyncRequest request{m_view, restarted.recovering()};
-        const ReplicaLife asker{HostId(3), Incarnation(2)};
-        restarted.absorb(HostId(1), first.answerSync(request, asker, m_now), m_now);
-        restarted.absorb(HostId(2), second.answerSync(request, asker, m_now), m_now);
+        RunAcceptor restarted = makeRestarted();
+        collect(restarted, 1, first);
+        collect(restarted, 2, second);
         m_now += Seconds(40);
         CPPUNIT_ASSERT(claim(restarted, 3) == ClaimVerdict::Taken);
     }
@@ -481,6 +466,22 @@
     }
 
 private:
+    /** @return replica 3 in its second life, which knows nothing yet */
+    RunAcceptor makeRestarted()
+    {
+        RunAcceptor restarted(HostId(3), Incarnation(2), RunSettings{memory});
+        restarted.adopt(m_view, m_now);
+        return restarted;
+    }
+
+    /** Hands the records of replica @p id to the restarted one. */
+    void collect(RunAcceptor &restarted, std::uint32_t id, RunAcceptor &source)
+    {
+        const RecordSyncRequest request{m_view, restarted.recovering()};
+        const ReplicaLife asker{HostId(3), Incarnation(2)};
+        restarted.absorb(HostId(id), source.answerSync(request, asker, m_now), m_now);
+    }
+
     RunAcceptor makeAcceptor(std::uint32_t id)
     {
         if (m_view.members.empty()) {
