host: be ready without the run records after ten seconds; test cut-off answers and a full restart

Cause: after all hosts were restarted at once none was ready for five minutes, since readiness asked for run records that nobody has any more; requests without a key need none. Change: a host is ready ten seconds after its start even if it cannot collect all records. New process tests: all hosts killed and started at once, an answer that its target breaks off. Ruled out: the second test failed at first since one request that lost two connections is refused as a crash suspect, which is right; it now sends a different one each time.

--- a/src/host/fleet.h
+++ b/src/host/fleet.h
@@ -62,7 +62,10 @@
     bool readsStore() const;
     /** @return the view to be written to the store, if this host is to propose one now */
     std::optional<View> proposal() const;
-    /** @return whether this host votes, and knows who places each service */
+    /**
+     * @return whether this host knows who places each service, and votes, or has tried to for long
+     *         enough: if the records of all are lost, what needs none is served all the same
+     */
     bool ready() const;
     bool connected(TimePoint now) const;
 
@@ -173,6 +176,7 @@
     bool m_listingKnown = false;
     bool m_leaving = false;
     TimePoint m_viewAdoptedAt{};
+    TimePoint m_startedAt = SteadyClock().now();
     Log m_log{"fleet"};
 };
 
--- a/src/host/fleet_leases.cpp
+++ b/src/host/fleet_leases.cpp
@@ -12,6 +12,8 @@
 constexpr Milliseconds notesMemory{10'000};
 /** Notes that have not changed are repeated this often. */
 constexpr Milliseconds notesRepeat{3000};
+/** A host that starts is ready after this, though it could not collect all run records. */
+constexpr Seconds recoveryPatience{10};
 
 } // namespace
 
@@ -280,9 +282,10 @@
 
 bool Fleet::ready() const
 {
-    if (!m_acceptor.active() || !m_declarations)
-        return false;
     const TimePoint now = SteadyClock().now();
+    const bool votes = m_acceptor.active() || now - m_startedAt > recoveryPatience;
+    if (!votes || !m_declarations)
+        return false;
     const auto &services = m_declarations->services;
     return std::all_of(services.begin(), services.end(), [&](const auto &entry) {
         const ShardId shard = shardOf(entry.first);
--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -278,6 +278,41 @@
         for number in (1, 2, 3):
             self.assertEqual(200, send(fleet, number, "/bergvik/quote-archive/quotes/1")[0])
 
+    def test_broken_off_answer_is_seen_as_such(self):
+        import http.client
+        fleet = self.start(hosts=3, service_ms=2)
+        for target in fleet.targets.values():
+            call("POST", target["address"], "/control", {"breakOff": True})
+        # A different request each time: one that lost two connections is refused as a crash suspect.
+        for number in fleet.hosts:
+            with self.assertRaises((http.client.IncompleteRead, ConnectionError)):
+                send(fleet, number, f"/bergvik/quote-archive/quotes/{number}")
+        for target in fleet.targets.values():
+            call("POST", target["address"], "/control", {"breakOff": False})
+
+        def answered():
+            code, _, body = send(fleet, 1, "/bergvik/quote-archive/quotes/7",
+                                 headers={"Request-Echo": "e7"})
+            return code == 200 and json.loads(body)["echo"] == "e7"
+        wait_until(answered, "a whole answer", 40)
+
+    def test_all_hosts_restart_at_once(self):
+        fleet = self.start(service_ms=2)
+        path = "/bergvik/order-acceptance/acceptances"
+        key = {"Idempotency-Key": "order-1"}
+        self.assertEqual(200, send(fleet, 1, path, "POST", b"x", key)[0])
+        for number in fleet.hosts:
+            fleet.processes[f"host{number}"].kill()
+            fleet.processes[f"host{number}"].wait()
+        for number in fleet.hosts:
+            fleet.start_host(number)
+        fleet.wait_ready(seconds=40)
+        for number in fleet.hosts:
+            self.assertEqual(200, send(fleet, number, "/bergvik/quote-archive/quotes/1")[0])
+            code, _, body = send(fleet, number, path, "POST", b"x", key)
+            self.assertEqual("run-record-unavailable", json.loads(body)["reason"])
+        self.assertEqual(0, sum(s["doubleRuns"] for s in target_stats(fleet).values()))
+
     def test_conflicting_framing_and_long_headers_are_refused(self):
         import socket
         fleet = self.start(hosts=3)
--- a/tools/target_standin.cpp
+++ b/tools/target_standin.cpp
@@ -1,8 +1,8 @@
 // A stand-in for several targets in one process, one port each. Each has slots, a cold start, load
 // reports, shedding and draining, and counts the runs of each request key so that a doubled run is
 // seen. GET /stats tells the counts of the port; POST /control {"cold":true,"drain":true,"slow":F,
-// "failing":true,"misleading":true} changes it. A body that contains "CRASH" closes all connections
-// of the target and starts a new incarnation.
+// "failing":true,"misleading":true,"breakOff":true} changes it. A body that contains "CRASH" closes
+// all connections of the target and starts a new incarnation.
 
 #include "endivedock/json.h"
 #include "endivedock/net.h"
@@ -126,6 +126,8 @@
             health(response);
         else if (start.find("CRASH") != std::string::npos)
             co_return crash();
+        else if (m_breakOff)
+            co_return co_await breakOff(stream);
         else
             co_await work(request, start, bytes, response);
         response.prepare_payload();
@@ -133,6 +135,15 @@
         co_return response.keep_alive();
     }
 
+    /** Sends the beginning of an answer and closes. */
+    Task<bool> breakOff(Stream &stream)
+    {
+        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nbeginning";
+        co_await asio::async_write(stream, asio::buffer(text), asio::use_awaitable);
+        stream.close();
+        co_return false;
+    }
+
     bool crash()
     {
         ++m_incarnation;
@@ -217,6 +228,7 @@
         }
         m_draining = order.booleanOr("drain", m_draining);
         m_failing = order.booleanOr("failing", m_failing);
+        m_breakOff = order.booleanOr("breakOff", m_breakOff);
         m_misleading = order.booleanOr("misleading", m_misleading);
         m_slow = order.fractionOr("slow", {0.01, 1000.0}, m_slow);
         response.result(http::status::ok);
@@ -244,6 +256,7 @@
     int m_inFlight = 0;
     bool m_draining = false;
     bool m_failing = false;
+    bool m_breakOff = false;
     bool m_misleading = false;
     double m_slow = 1.0;
     Totals m_totals;
