gateway: say truthfully that a body was too long; drop what nobody uses

Cause: reading as a newcomer: a chunked body is known to be too long only when part of it has gone to a target, yet the refusal said not-run; and a chunked body under 64 KiB was never checked at all. Change: the refusal says may-have-run once anything was sent; buffered bodies are checked before a target is asked for. Removed: the reason draining, a sign of coldness and names that nothing used. Ruled out: bodies with a Content-Length (checked when the request is planned). Measured: the new test got 200 for a body of twice the limit before, and 413 with the right certainty after, through the real gateway with a target of its own; all 23 unit programs pass.

--- a/include/endivedock/coldstart/warmth.h
+++ b/include/endivedock/coldstart/warmth.h
@@ -14,12 +14,8 @@
     ConnectionLost,
     LatencyStep,
     ZoneReturned,
-    Takeover,
 };
 
-/** @return a stable name for metrics; static lifetime */
-const char *name(ColdSign sign);
-
 /**
  * Whether one target is known to be warm. A target is cold until it has answered well often
  * enough, and cold again at the first sign of a restart.
--- a/include/endivedock/core/refusal.h
+++ b/include/endivedock/core/refusal.h
@@ -16,7 +16,6 @@
     UnknownService,
     KeyRequired,
     NoConfiguration,
-    Draining,
     QueueFull,
     DeadlineExceeded,
     NoTarget,
--- a/include/endivedock/gateway/caller_connection.h
+++ b/include/endivedock/gateway/caller_connection.h
@@ -21,15 +21,16 @@
 class CallerRequestError : public Error
 {
 public:
-    explicit CallerRequestError(RefusalReason reason)
+    explicit CallerRequestError(RefusalReason reason,
+                                RunCertainty certainty = RunCertainty::NotRun)
         : Error("the caller's request is refused")
-        , m_reason(reason)
+        , m_refusal{reason, certainty}
     {
     }
-    RefusalReason reason() const { return m_reason; }
+    const Refusal &refusal() const { return m_refusal; }
 
 private:
-    RefusalReason m_reason;
+    Refusal m_refusal;
 };
 
 /** One HTTP/1.1 connection of a caller. Bodies pass through in pieces. */
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -120,7 +120,7 @@
                     break;
                 co_await serveRequest(caller, std::move(*head));
             } catch (const CallerRequestError &error) {
-                malformed = Refusal{error.reason(), RunCertainty::NotRun};
+                malformed = error.refusal();
             }
             if (malformed) {
                 caller.closeAfterAnswer();
@@ -188,6 +188,8 @@
                                    request.bodyStart.size() - filled);
         filled += co_await caller.readBody(rest);
     }
+    if (filled > request.plan.maxBody.value())
+        throw CallerRequestError(RefusalReason::BodyTooLarge);
     request.bodyStart.resize(filled);
     request.bodyBuffered = caller.bodyDone();
 }
@@ -357,7 +359,7 @@
             const std::size_t count = co_await caller.readBody(piece);
             sent += count;
             if (sent > request.plan.maxBody.value())
-                throw CallerRequestError(RefusalReason::BodyTooLarge);
+                throw CallerRequestError(RefusalReason::BodyTooLarge, RunCertainty::MayHaveRun);
             if (count > 0)
                 co_await target.sendBody({piece.data(), count});
         }
--- a/src/coldstart/warmth.cpp
+++ b/src/coldstart/warmth.cpp
@@ -18,27 +18,6 @@
 
 } // namespace
 
-const char *name(ColdSign sign)
-{
-    switch (sign) {
-    case ColdSign::Listed:
-        return "listed";
-    case ColdSign::NewIncarnation:
-        return "new-incarnation";
-    case ColdSign::ConnectionRefused:
-        return "connection-refused";
-    case ColdSign::ConnectionLost:
-        return "connection-lost";
-    case ColdSign::LatencyStep:
-        return "latency-step";
-    case ColdSign::ZoneReturned:
-        return "zone-returned";
-    case ColdSign::Takeover:
-        return "takeover";
-    }
-    return "unknown";
-}
-
 void Warmth::chill(ColdSign sign, TimePoint now)
 {
     m_coldSince = now;
--- a/src/core/refusal.cpp
+++ b/src/core/refusal.cpp
@@ -15,7 +15,6 @@
         {"unknown-service", "No such service is configured", 404, never},
         {"key-required", "This route demands an Idempotency-Key", 428, never},
         {"no-configuration", "This host has no configuration yet", 503, soon},
-        {"draining", "This host is shutting down", 503, soon},
         {"queue-full", "All targets are busy and the queue is full", 503, soon},
         {"deadline-exceeded", "The deadline passed before an answer", 504, never},
         {"no-target", "No target of the service may take work", 503, soon},
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -1,12 +1,15 @@
 #include "endivedock/gateway.h"
 #include "endivedock/gateway/gateway_server-inl.h"
 
+#include "../net_support.h"
 #include "../support.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace endivedock;
+using endivedock::testing::anyPort;
 using endivedock::testing::makeService;
+using endivedock::testing::runTask;
 
 namespace {
 
@@ -35,6 +38,51 @@
     return head;
 }
 
+/** Places everything on one target. */
+struct OneTarget
+{
+    Task<std::variant<PlacedTarget, Refusal>> place(const PlacementRequest &, TimePoint)
+    {
+        co_return PlacedTarget{{GrantId(1), TargetId("t"), true}, target, Connections(5)};
+    }
+    void abandon(const AttemptId &) {}
+    void report(AttemptReport report) { reports.push_back(std::move(report)); }
+
+    Address target;
+    std::vector<AttemptReport> reports;
+};
+
+struct AnyRun
+{
+    Task<std::optional<Refusal>> claim(RunClaim, TimePoint) { co_return std::nullopt; }
+    void finish(RunClaim, RunEnd) {}
+};
+
+std::string chunkedRequest(std::size_t bytes)
+{
+    char length[32];
+    std::snprintf(length, sizeof(length), "%zx", bytes);
+    return "PUT /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+           std::string(length) + "\r\n" + std::string(bytes, 'x') + "\r\n0\r\n\r\n";
+}
+
+/** Sends @p text and reads until the server closes or has sent a header. */
+Task<> exchangeText(asio::any_io_executor executor, Address server, std::string text,
+                    std::string &answer)
+{
+    asio::ip::tcp::socket socket(executor);
+    co_await socket.async_connect(tcpEndpoint(server), asio::use_awaitable);
+    boost::system::error_code error;
+    co_await asio::async_write(socket, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, error));
+    std::array<char, 4096> piece{};
+    while (!error && answer.find("}") == std::string::npos) {
+        const std::size_t count = co_await socket.async_read_some(
+                asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+        answer.append(piece.data(), count);
+    }
+}
+
 } // namespace
 
 class GatewayTest : public CppUnit::TestFixture
@@ -47,6 +95,7 @@
     CPPUNIT_TEST(nonIdempotentIsTriedAgainOnlyIfNotRun);
     CPPUNIT_TEST(readsTargetReports);
     CPPUNIT_TEST(problemsAreStable);
+    CPPUNIT_TEST(longChunkedBodiesAreRefusedTruthfully);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,7 +190,48 @@
                 text);
     }
 
+    /** A body without a length is known to be too long only after some of it has been sent on. */
+    void longChunkedBodiesAreRefusedTruthfully()
+    {
+        const std::string buffered = throughGateway(chunkedRequest(200), 100);
+        CPPUNIT_ASSERT_MESSAGE(buffered, buffered.find("413") != std::string::npos);
+        CPPUNIT_ASSERT(buffered.find("\"not-run\"") != std::string::npos);
+        const std::string streamed = throughGateway(chunkedRequest(300'000), 100'000);
+        CPPUNIT_ASSERT_MESSAGE(streamed, streamed.find("body-too-large") != std::string::npos);
+        CPPUNIT_ASSERT(streamed.find("\"may-have-run\"") != std::string::npos);
+        const std::string fine = throughGateway(chunkedRequest(300'000), 400'000);
+        CPPUNIT_ASSERT_MESSAGE(fine, fine.find("{300000}") != std::string::npos);
+    }
+
 private:
+    /** @return what a caller gets for @p text where bodies may have @p maxBody bytes */
+    static std::string throughGateway(std::string text, int maxBody)
+    {
+        configureLog(LogLevel::Error);
+        asio::io_context context;
+        HttpServer target(context.get_executor(), anyPort, [](HttpCall call) -> Task<HttpResult> {
+            co_return HttpResult{200, "text/plain", "{" + std::to_string(call.body.size()) + "}"};
+        });
+        NewestConfiguration configuration;
+        configuration.offer(
+                {Revision(1),
+                 {{templateKey(TemplateId("t")),
+                   R"({"template":"t","slots":4,"maxBodyBytes":)" + std::to_string(maxBody) + "}"},
+                  {parametersKey(TenantId("bergvik")),
+                   R"({"tenant":"bergvik","zones":["a"],"services":[{"service":"quotes","template":"t"}]})"}}});
+        Metrics metrics;
+        Random random(1);
+        OneTarget placements{target.localAddress(), {}};
+        AnyRun runs;
+        GatewayServer<OneTarget, AnyRun> gateway(context.get_executor(), anyPort,
+                                                 {HostId(1), configuration, metrics, random},
+                                                 placements, runs);
+        std::string answer;
+        runTask(context, exchangeText(context.get_executor(), gateway.localAddress(),
+                                      std::move(text), answer));
+        return answer;
+    }
+
     std::variant<RequestPlan, Refusal> plan(const RequestHead &head)
     {
         return planRequest(head, &m_declarations, m_now);
