dispatch: the stopgap lasts as long as targets answer

Three of six are no majority, so nobody holds a lease until the platform's list drops the dead hosts; the stopgap takes over, but knew a target as warm for ten seconds after the last placement only, so after that it refused everything. The test had passed when it asked within the ten seconds. Ruled out: the view (all six hosts in it), the records (claims are refused as they must be). Change: a good answer keeps a target known as warm; a new incarnation ends it. Measured: the test passes; a unit test runs the stopgap for a minute.

--- a/include/endivedock/dispatch/placement_client-inl.h
+++ b/include/endivedock/dispatch/placement_client-inl.h
@@ -227,6 +227,8 @@
                       report.outcome == AttemptOutcome::Abandoned;
     if (!good)
         m_stopgap.distrust(report.target);
+    if (report.outcome == AttemptOutcome::Answered)
+        m_stopgap.answered(report.target, report.incarnation, SteadyClock().now());
     if (stopgap) {
         m_stopgap.finished(report.target);
         return;
--- a/include/endivedock/dispatch/stopgap.h
+++ b/include/endivedock/dispatch/stopgap.h
@@ -35,12 +35,18 @@
                                  std::span<const TargetId> exclude, TimePoint now, Random &random);
     void started(const TargetId &target);
     void finished(const TargetId &target);
+    /**
+     * Takes note of a good answer of any attempt. Answers keep a warm target known as warm, so that
+     * the stopgap lasts as long as no host can place; a new life is distrusted.
+     */
+    void answered(const TargetId &target, std::optional<Incarnation> incarnation, TimePoint now);
 
 private:
     struct Known
     {
         TimePoint warmAt{};
         Slots inFlight{0};
+        std::optional<Incarnation> incarnation;
     };
 
     std::unordered_map<TargetId, Known> m_known;
--- a/src/dispatch/stopgap.cpp
+++ b/src/dispatch/stopgap.cpp
@@ -61,6 +61,19 @@
     return chosen ? std::optional(ids[*chosen]) : std::nullopt;
 }
 
+void Stopgap::answered(const TargetId &target, std::optional<Incarnation> incarnation,
+                       TimePoint now)
+{
+    Known &known = m_known[target];
+    const bool sameLife = !incarnation || !known.incarnation || *incarnation == *known.incarnation;
+    if (incarnation)
+        known.incarnation = incarnation;
+    if (!sameLife)
+        known.warmAt = TimePoint{};
+    else if (now - known.warmAt <= warmMemory)
+        known.warmAt = now;
+}
+
 void Stopgap::started(const TargetId &target)
 {
     m_known[target].inFlight += Slots(1);
--- a/tests/dispatch/dispatch_test.cpp
+++ b/tests/dispatch/dispatch_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST_SUITE(DispatchTest);
     CPPUNIT_TEST(asksTheHolderUntilItAnswers);
     CPPUNIT_TEST(stopgapUsesWarmTargetsOnly);
+    CPPUNIT_TEST(stopgapLastsWhileTargetsAnswer);
     CPPUNIT_TEST(reportsAreRepeatedUntilConfirmed);
     CPPUNIT_TEST(unwantedGrantIsGivenBack);
     CPPUNIT_TEST(deadlineEndsTheWait);
@@ -101,6 +102,23 @@
         CPPUNIT_ASSERT(refusal.certainty == RunCertainty::NotRun);
     }
 
+    /** Found by test_half_of_the_hosts_are_killed: after ten seconds nothing was placed any more.
+     */
+    void stopgapLastsWhileTargetsAnswer()
+    {
+        const Service service = *m_configuration.declarations()->find(ServiceId("bergvik/quotes"));
+        const std::vector<ListedTarget> listed{makeTarget(0)};
+        Stopgap stopgap;
+        stopgap.observed(service.id, TargetId("t0"), true, m_now);
+        for (int i = 0; i < 12; ++i) {
+            m_now += Seconds(5);
+            CPPUNIT_ASSERT(stopgap.pick(service, listed, {}, m_now, m_random));
+            stopgap.answered(TargetId("t0"), Incarnation(1), m_now);
+        }
+        stopgap.answered(TargetId("t0"), Incarnation(2), m_now);
+        CPPUNIT_ASSERT(!stopgap.pick(service, listed, {}, m_now, m_random));
+    }
+
     void reportsAreRepeatedUntilConfirmed()
     {
         learnWarm();
