--- a/include/endivedock/gateway/caller_connection.h
+++ b/include/endivedock/gateway/caller_connection.h
@@ -21,8 +21,7 @@
 class CallerRequestError : public Error
 {
 public:
-    explicit CallerRequestError(RefusalReason reason,
-                                RunCertainty certainty = RunCertainty::NotRun)
+    explicit CallerRequestError(RefusalReason reason, RunCertainty certainty = RunCertainty::NotRun)
         : Error("the caller's request is refused")
         , m_refusal{reason, certainty}
     {
