--- /dev/null
+++ b/include/endivedock/balancing/registered_target.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "endivedock/core.h"
+
+#include <optional>
+
+namespace endivedock {
+
+/** A target as it registered itself. */
+struct RegisteredTarget
+{
+    TargetId id;
+    ServiceId service;
+    Address address;
+    ZoneId zone;
+    VersionId version;
+    Slots slots{1};
+    bool draining = false;
+    /** Time for which it was still cold when it wrote this. */
+    Milliseconds coldFor{0};
+    /** Unix time of its start, in milliseconds; tells two lives under one id apart. */
+    std::optional<std::int64_t> startedAt;
+    /** The store's revision of the entry. */
+    Revision revision;
+};
+
+/** What a health answer of a target tells. */
+struct TargetProbe
+{
+    bool healthy = false;
+    /** The target at the address; may be another one. */
+    std::optional<TargetId> id;
+    std::optional<Milliseconds> coldFor;
+};
+
+} // namespace endivedock
--- a/include/endivedock/core/refusal.h
+++ b/include/endivedock/core/refusal.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace endivedock {
@@ -52,6 +53,8 @@
 {
     RefusalReason reason = RefusalReason::Internal;
     RunCertainty certainty = RunCertainty::MayHaveRun;
+    /** When the caller may come back with a chance; absent where nothing better is known. */
+    std::optional<Milliseconds> retryAfter = std::nullopt;
 
     bool operator==(const Refusal &) const = default;
 };
--- /dev/null
+++ b/include/endivedock/edge/edge_host.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "endivedock/edge/edge_message.h"
+#include "endivedock/edge/edge_settings.h"
+#include "endivedock/edge/local_placement.h"
+#include "endivedock/edge/platform_concept.h"
+#include "endivedock/loadnews.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+
+namespace endivedock {
+
+/**
+ * One entry host. It serves callers, follows the platform's store, and trades news with the other
+ * hosts. Runs on one thread; one task for the store, one for its own entry there, one for news, one
+ * for each probe, and those of the gateway.
+ *
+ * @tparam P  the platform
+ */
+template <EdgePlatform P>
+class EdgeHost
+{
+public:
+    /**
+     * Listens and starts all tasks.
+     *
+     * @throws Error if an address cannot be bound or a key is unusable
+     */
+    EdgeHost(asio::io_context &context, EdgeSettings settings);
+
+    /** Shuts down gracefully: finishes what is open, then stops the context. */
+    void stop();
+    /** The settings may have changed; what can change while the process runs is taken over. */
+    void reload(const EdgeSettings &settings);
+    bool ready() const;
+
+private:
+    using Gateway = GatewayServer<typename P::Front, LocalPlacement, NoRunKeys>;
+
+    /** A running move as this host knows it. */
+    struct Move
+    {
+        MoveOrder order;
+        TimePoint seenAt;
+        std::optional<MoveProgress> progress;
+        TimePoint endedAt{};
+        /** No attempt to write before. */
+        TimePoint writeAt{};
+        bool writing = false;
+    };
+
+    // The tasks.
+    Task<> followStore();
+    Task<> keepRegistered();
+    Task<> tradeNews();
+    Task<> followPeers();
+    Task<> probe(ServiceId service, ProbeTarget target);
+    Task<> writeVerdict(ServiceId service, MoveState state);
+    Task<> shutDown();
+    Task<HttpResult> answerReadiness(HttpCall call);
+    Task<HttpResult> answerAdmin(HttpCall call);
+
+    Task<> registerOnce();
+    void storeAnswered();
+    void storeFailed(const std::string &error);
+    void registryChanged();
+    void followHosts();
+    void followOrders(TimePoint now);
+    void sendNews(TimePoint now);
+    HostNews newsFor(const std::vector<ServiceId> &services, TimePoint now);
+    HostPicture relay(HostId from, const HostNews &news, TimePoint now);
+    void take(const PeerHeader &header, EdgeMessage message, const Address &from);
+    void takePicture(HostId from, const HostPicture &picture, TimePoint now);
+    void takeProgress(const ServiceId &service, const MoveProgress &progress);
+    void settleMoves(TimePoint now);
+    void startProbes(TimePoint now);
+
+    asio::io_context &m_context;
+    asio::any_io_executor m_executor;
+    EdgeSettings m_settings;
+    HostId m_self;
+    Random m_random = systemRandom();
+    Metrics m_metrics;
+    Registry m_registry;
+    WeightedTurns m_turns;
+    LocalPlacement m_placement;
+    NoRunKeys m_noKeys;
+    typename P::Store m_watchStore;
+    typename P::Store m_callStore;
+    Sealer m_sealer;
+    DatagramTransport<EdgeCodec> m_datagrams;
+    StreamTransport<EdgeCodec> m_streams;
+    RelayChoice m_relays;
+    NewsRelay m_relay;
+    std::map<HostId, Address> m_peers;
+    std::map<ServiceId, Move> m_moves;
+    Gateway m_gateway;
+    HttpServer m_readiness;
+    std::optional<HttpServer> m_admin;
+    std::optional<LeaseId> m_lease;
+    /** When the store last answered, and whether it has failed since. */
+    TimePoint m_storeAnsweredAt;
+    bool m_storeLost = false;
+    /** The newest revision that another host has told of, and that host. */
+    Revision m_newest;
+    HostId m_newestAt;
+    bool m_leaving = false;
+    Log m_log{"host"};
+};
+
+} // namespace endivedock
--- a/include/endivedock/gateway/caller_connection.h
+++ b/include/endivedock/gateway/caller_connection.h
@@ -3,7 +3,6 @@
 #include "endivedock/gateway/http_message.h"
 #include "endivedock/net.h"
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -32,7 +31,20 @@
     Refusal m_refusal;
 };
 
-/** One HTTP/1.1 connection of a caller. Bodies pass through in pieces. */
+/** What an answer must observe of the request that it belongs to. */
+struct AnswerTerms
+{
+    int minorVersion = 1;
+    /** The request was a HEAD, so that no body is sent. */
+    bool headOnly = false;
+    /** The connection stays open after the answer. */
+    bool keepAlive = true;
+};
+
+/**
+ * One HTTP/1.1 connection of a caller. Bodies pass through in pieces. One task may read while
+ * another one writes.
+ */
 class CallerConnection
 {
 public:
@@ -44,7 +56,7 @@
      * @throws CallerRequestError if it is malformed or too large; answer and close
      * @throws CallerError if the connection failed
      */
-    Task<std::optional<RequestHead>> readHead();
+    Task<std::optional<RequestHead>> readHead(const CallerLimits &limits);
     /**
      * Reads the next piece of the body; sends "100 Continue" first where the caller waits for it.
      *
@@ -53,24 +65,21 @@
     Task<std::size_t> readBody(std::span<char> into);
     bool bodyDone() const;
 
-    /** Calls @p onGone if the caller goes away before unwatch(). Only after the whole body. */
-    void watch(std::function<void()> onGone);
-    void unwatch();
-
     /** @return memory for one piece of a body, kept as long as the connection */
     std::span<char> scratch();
 
-    Task<> sendHead(const AnswerHead &head);
+    /** Sends a whole answer with one write. */
+    Task<> sendAnswer(const AnswerHead &head, std::span<const char> body, const AnswerTerms &terms);
+    /** Sends an answer piece by piece: the header, any number of pieces, the end. */
+    Task<> sendHead(const AnswerHead &head, const AnswerTerms &terms);
     Task<> sendBody(std::span<const char> piece);
     Task<> endAnswer();
-    /** @return whether the connection can carry another request */
-    bool reusable() const;
-    /** The connection is closed after the present answer. */
-    void closeAfterAnswer();
+    /** Tells the caller that no further answer will come. */
+    void shutdownSend();
     /** Breaks off, so that the caller sees that the answer is not complete. */
     void abort();
-    /** Wakes readHead() where it waits for a further request. */
-    void stopWhenIdle();
+    /** Ends what waits on this connection. */
+    void close();
 
 private:
     class Impl;
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -9,21 +9,16 @@
 
 namespace gateway_detail {
 
-/** A body up to this size is kept, so that it can be sent again. */
-constexpr std::size_t replayBytes = 64 * 1024;
-
-/** Fields of a target's answer that are meant for endivedock. */
-inline bool isTargetReport(const HeaderField &field)
-{
-    return isNamed(field, incarnationField) || isNamed(field, loadReportField) ||
-           isNamed(field, targetStateField);
-}
-
-inline void setField(HeaderFields &fields, std::string_view name, std::string value)
-{
-    std::erase_if(fields, [name](const HeaderField &field) { return isNamed(field, name); });
-    fields.push_back({std::string(name), std::move(value)});
-}
+/** A body up to this size is kept whole, so that it can be sent again; longer ones pass through. */
+constexpr std::size_t keptBodyBytes = 512 * 1024;
+/** An answer up to this size is read whole before its caller sees any of it. */
+constexpr std::size_t keptAnswerBytes = 512 * 1024;
+/** A body up to this size fits the windows of a connection and is written before the answer. */
+constexpr std::size_t writtenAtOnce = 8 * 1024;
+/** Requests of one connection in progress at the same time. */
+constexpr std::size_t mostPipelined = 16;
+/** After an answer that closes, the caller has this time to close its side. */
+constexpr Seconds lingerTime{2};
 
 inline Microseconds microsecondsSince(TimePoint start)
 {
@@ -33,8 +28,8 @@
 } // namespace gateway_detail
 
 /** Reports an attempt however its scope is left. */
-template <PlacementSource P, RunGuard R>
-class GatewayServer<P, R>::ReportOnExit
+template <FrontEnd F, PlacementSource P, RunGuard R>
+class GatewayServer<F, P, R>::ReportOnExit
 {
 public:
     ReportOnExit(P &placements, AttemptReport report)
@@ -52,12 +47,13 @@
     AttemptReport m_report;
 };
 
-template <PlacementSource P, RunGuard R>
-GatewayServer<P, R>::GatewayServer(asio::any_io_executor executor, const Address &listen,
-                                   GatewayContext context, P &placements, R &runs)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+GatewayServer<F, P, R>::GatewayServer(asio::any_io_executor executor, const Address &listen,
+                                      GatewayContext context, F front, P &placements, R &runs)
     : m_executor(executor)
     , m_acceptor(executor, tcpEndpoint(listen), true)
     , m_context(context)
+    , m_front(std::move(front))
     , m_placements(placements)
     , m_runs(runs)
     , m_pool(executor)
@@ -66,24 +62,44 @@
     startTask(m_executor, "gateway-accept", accept());
 }
 
-template <PlacementSource P, RunGuard R>
-Address GatewayServer<P, R>::localAddress() const
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Address GatewayServer<F, P, R>::localAddress() const
 {
     const auto endpoint = m_acceptor.local_endpoint();
     return {endpoint.address().to_string(), endpoint.port()};
 }
 
-template <PlacementSource P, RunGuard R>
-void GatewayServer<P, R>::stopAccepting()
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::discourage()
 {
+    m_discouraging = true;
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::stopAccepting()
+{
+    m_discouraging = true;
     m_stopping = true;
-    m_acceptor.close();
-    for (auto *caller : m_callers)
-        caller->stopWhenIdle();
+    boost::system::error_code ignored; // Closing can only fail if it was closed before.
+    m_acceptor.close(ignored);
+    for (auto *session : m_sessions) {
+        if (session->open.empty())
+            session->caller.shutdownSend();
+        notify(*session);
+    }
 }
 
-template <PlacementSource P, RunGuard R>
-Task<> GatewayServer<P, R>::accept()
+template <FrontEnd F, PlacementSource P, RunGuard R>
+GatewayActivity GatewayServer<F, P, R>::activity() const
+{
+    GatewayActivity result{m_sessions.size(), 0, m_lastArrival};
+    for (const auto *session : m_sessions)
+        result.openRequests += session->open.size();
+    return result;
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::accept()
 {
     while (m_acceptor.is_open()) {
         boost::system::error_code error;
@@ -96,74 +112,198 @@
             co_await sleepFor(Milliseconds(10)); // Out of descriptors, most likely.
             continue;
         }
-        startTask(m_executor, "caller", serve(std::move(socket)));
+        startTask(m_executor, "caller",
+                  serve(std::make_shared<Session>(std::move(socket), m_executor)));
     }
 }
 
-template <PlacementSource P, RunGuard R>
-Task<> GatewayServer<P, R>::serve(asio::ip::tcp::socket socket)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::serve(SessionPtr session)
 {
-    CallerConnection caller(std::move(socket));
-    m_callers.insert(&caller);
+    m_sessions.insert(session.get());
     m_lastArrival = SteadyClock().now();
-    if (m_stopping)
-        caller.stopWhenIdle();
     try {
-        while (true) {
-            std::optional<Refusal> malformed;
-            try {
-                std::optional<RequestHead> head = co_await caller.readHead();
-                if (!head)
-                    break;
-                co_await serveRequest(caller, std::move(*head));
-            } catch (const CallerRequestError &error) {
-                malformed = error.refusal();
-            }
-            if (malformed) {
-                caller.closeAfterAnswer();
-                co_await refuse(caller, *malformed, RequestId(m_context.random()), "");
-            }
-            if (!caller.reusable())
-                break;
-        }
+        co_await readRequests(session);
     } catch (const CallerError &) {
         m_context.metrics.count("endivedock_callers_lost_total");
     } catch (...) {
-        m_callers.erase(&caller);
+        m_sessions.erase(session.get());
+        callerIsGone(*session);
         throw;
     }
-    m_callers.erase(&caller);
+    m_sessions.erase(session.get());
+    callerIsGone(*session);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::readRequests(SessionPtr session)
+{
+    while (true) {
+        std::optional<Refusal> malformed;
+        try {
+            CallerLimits limits = m_front.limits();
+            if (session->closing)
+                limits.idleTime = gateway_detail::lingerTime;
+            // While an answer is due, silence means that the caller waits for it.
+            if (!session->open.empty())
+                limits.idleTime = std::max(limits.idleTime, Milliseconds(60'000));
+            std::optional<RequestHead> head = co_await session->caller.readHead(limits);
+            if (!head) {
+                // Idle for too long beside an answer that is due, or closed; both end it.
+                co_return;
+            }
+            if (session->closing)
+                co_return; // Counts as not read; the answer before it says that it is the last.
+            co_await readRequest(session, std::move(*head));
+        } catch (const CallerRequestError &error) {
+            malformed = error.refusal();
+        }
+        if (!malformed)
+            continue;
+        auto request = std::make_shared<Request>();
+        request->id = RequestId(m_context.random());
+        request->number = session->read++;
+        request->terms.keepAlive = false;
+        session->closing = true;
+        session->open[request->number] = request;
+        co_await refuse(session, request, *malformed);
+        finishRequest(*session, *request);
+        co_await session->caller.readHead({Bytes(1024), gateway_detail::lingerTime,
+                                           gateway_detail::lingerTime});
+        co_return;
+    }
 }
 
-template <PlacementSource P, RunGuard R>
-Task<> GatewayServer<P, R>::serveRequest(CallerConnection &caller, RequestHead head)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::readRequest(SessionPtr session, RequestHead head)
 {
-    Request request;
-    request.arrivedAt = SteadyClock().now();
-    m_lastArrival = request.arrivedAt;
-    request.id = RequestId(m_context.random());
-    request.head = std::move(head);
-    const auto declarations = m_context.configuration.declarations();
-    auto planned = planRequest(request.head, declarations.get(), request.arrivedAt);
+    auto request = std::make_shared<Request>();
+    request->arrivedAt = SteadyClock().now();
+    m_lastArrival = request->arrivedAt;
+    request->id = RequestId(m_context.random());
+    request->terms = {head.minorVersion, head.method == "HEAD", head.keepAlive};
+    request->head = std::move(head);
+    auto planned = m_front.plan(request->head, request->arrivedAt);
+    if (auto *plan = std::get_if<RequestPlan>(&planned))
+        request->plan = std::move(*plan);
+    else
+        request->plan.maxBody = Bytes(gateway_detail::keptBodyBytes);
+    co_await readBodyStart(session->caller, request);
+    const bool alone = !request->bodyBuffered || !request->plan.idempotent;
+    while (!session->open.empty() &&
+           (alone || session->exclusive || session->open.size() >= gateway_detail::mostPipelined)) {
+        boost::system::error_code ignored; // Cancelled is how a change is told.
+        co_await session->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    session->exclusive = alone;
+    request->number = session->read++;
+    // What is left of a body that nobody reads would be taken for the next request.
+    if (!request->terms.keepAlive || !request->bodyBuffered || m_stopping)
+        session->closing = session->closing || !request->terms.keepAlive || m_stopping;
+    session->open[request->number] = request;
     if (const auto *refusal = std::get_if<Refusal>(&planned)) {
-        co_await refuse(caller, *refusal, request.id, "");
+        if (!request->bodyBuffered) {
+            request->terms.keepAlive = false;
+            session->closing = true;
+        }
+        co_await refuse(session, request, *refusal);
+        finishRequest(*session, *request);
         co_return;
     }
-    request.plan = std::move(std::get<RequestPlan>(planned));
-    const std::string service = request.plan.service.value();
-    m_context.metrics.count("endivedock_requests_total", {{"service", service}});
-    co_await readBodyStart(caller, request);
-    const std::string_view start(request.bodyStart.data(), request.bodyStart.size());
-    request.fingerprint = fingerprintOf(request.plan, request.head.method, start);
-    const auto refusal = co_await runClaimed(caller, request);
-    if (refusal)
-        co_await refuse(caller, *refusal, request.id, service);
+    m_context.metrics.count("endivedock_requests_total",
+                            {{"service", request->plan.service.value()}});
+    const std::string_view start(request->bodyStart.data(), request->bodyStart.size());
+    request->fingerprint = fingerprintOf(request->plan, request->head.method, start);
+    if (request->bodyBuffered)
+        startTask(m_executor, "request", exchange(session, request));
     else
-        countAnswer(request);
+        co_await exchange(session, request);
 }
 
-template <PlacementSource P, RunGuard R>
-void GatewayServer<P, R>::countAnswer(const Request &request)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::notify(Session &session)
+{
+    session.changed.cancel();
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::callerIsGone(Session &session)
+{
+    session.callerGone = true;
+    session.caller.close();
+    const auto open = session.open;
+    for (const auto &[number, request] : open) {
+        if (request->cancel)
+            request->cancel();
+    }
+    notify(session);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::finishRequest(Session &session, const Request &request)
+{
+    session.open.erase(request.number);
+    session.answered = std::max(session.answered, request.number + 1);
+    if (m_stopping && session.open.empty())
+        session.caller.shutdownSend();
+    notify(session);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::awaitTurn(SessionPtr session, std::uint64_t number)
+{
+    while (!session->callerGone && session->answered < number) {
+        boost::system::error_code ignored; // Cancelled is how a change is told.
+        co_await session->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (session->callerGone)
+        throw CallerError("the caller went away before its answer");
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::exchange(SessionPtr session, RequestPtr request)
+{
+    bool broken = false;
+    try {
+        Result result = co_await runClaimed(session, request);
+        co_await answer(session, request, std::move(result));
+    } catch (const CallerError &error) {
+        broken = true;
+        m_log.info("Caller gone", {field("request", request->plan.callerId),
+                                   field("service", request->plan.service),
+                                   field("after_ms", toMilliseconds(SteadyClock().now() -
+                                                                    request->arrivedAt)
+                                                             .count()),
+                                   field("error", error.what())});
+    }
+    if (broken && !session->callerGone) {
+        session->closing = true;
+        session->caller.abort();
+    }
+    finishRequest(*session, *request);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::answer(SessionPtr session, RequestPtr request, Result result)
+{
+    if (const auto *refusal = std::get_if<Refusal>(&result)) {
+        co_await refuse(session, request, *refusal);
+        co_return;
+    }
+    if (auto *whole = std::get_if<Answer>(&result)) {
+        co_await awaitTurn(session, request->number);
+        if (m_discouraging)
+            request->terms.keepAlive = false;
+        session->closing = session->closing || !request->terms.keepAlive;
+        co_await session->caller.sendAnswer(whole->head, whole->body, request->terms);
+        if (!request->terms.keepAlive)
+            session->caller.shutdownSend();
+    }
+    countAnswer(*request);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::countAnswer(const Request &request)
 {
     const Labels labels{{"service", request.plan.service.value()}};
     const Microseconds whole = gateway_detail::microsecondsSince(request.arrivedAt);
@@ -172,52 +312,58 @@
     m_context.metrics.observe("endivedock_added_seconds", labels, whole - request.targetTime);
 }
 
-template <PlacementSource P, RunGuard R>
-Task<> GatewayServer<P, R>::readBodyStart(CallerConnection &caller, Request &request)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::readBodyStart(CallerConnection &caller, RequestPtr request)
 {
     using namespace gateway_detail;
-    const std::uint64_t expected =
-            request.head.framing.length.value_or(request.head.framing.chunked ? replayBytes : 0);
-    request.bodyStart.resize(std::min<std::uint64_t>(expected, replayBytes));
-    std::size_t filled = 0;
-    while (!caller.bodyDone() && filled < request.bodyStart.size()) {
-        const std::span<char> rest(request.bodyStart.data() + filled,
-                                   request.bodyStart.size() - filled);
-        filled += co_await caller.readBody(rest);
+    const BodyFraming &framing = request->head.framing;
+    const std::uint64_t expected = framing.length.value_or(framing.chunked ? keptBodyBytes : 0);
+    const std::size_t most = std::min<std::uint64_t>(expected, keptBodyBytes);
+    constexpr std::size_t step = 32 * 1024;
+    std::vector<char> &body = request->bodyStart;
+    while (!caller.bodyDone() && body.size() < most) {
+        const std::size_t filled = body.size();
+        body.resize(std::min(most, filled + step));
+        const std::size_t count =
+                co_await caller.readBody({body.data() + filled, body.size() - filled});
+        body.resize(filled + count);
     }
-    if (filled > request.plan.maxBody.value())
+    // The end of a chunked body may follow its last byte.
+    if (!caller.bodyDone() && body.size() == most && framing.length)
+        co_await caller.readBody({});
+    if (body.size() > request->plan.maxBody.value())
         throw CallerRequestError(RefusalReason::BodyTooLarge);
-    request.bodyStart.resize(filled);
-    request.bodyBuffered = caller.bodyDone();
+    request->bodyBuffered = caller.bodyDone();
 }
 
-template <PlacementSource P, RunGuard R>
-Task<std::optional<Refusal>> GatewayServer<P, R>::runClaimed(CallerConnection &caller,
-                                                             Request &request)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<typename GatewayServer<F, P, R>::Result>
+GatewayServer<F, P, R>::runClaimed(SessionPtr session, RequestPtr request)
 {
-    if (!request.plan.runKey)
-        co_return co_await runAttempts(caller, request);
-    const RunClaim claim{*request.plan.runKey, request.id};
-    if (auto refusal = co_await m_runs.claim(claim, request.plan.deadline))
-        co_return refusal;
-    std::optional<Refusal> refusal;
+    if (!request->plan.runKey)
+        co_return co_await runAttempts(session, request);
+    const RunClaim claim{*request->plan.runKey, request->id};
+    if (auto refusal = co_await m_runs.claim(claim, request->plan.deadline))
+        co_return *refusal;
+    Result result;
     try {
-        refusal = co_await runAttempts(caller, request);
+        result = co_await runAttempts(session, request);
     } catch (...) {
         m_runs.finish(claim, RunEnd::MayHaveRun);
         throw;
     }
+    const auto *refusal = std::get_if<Refusal>(&result);
     if (!refusal)
         m_runs.finish(claim, RunEnd::Answered);
     else if (refusal->certainty == RunCertainty::NotRun)
         m_runs.finish(claim, RunEnd::NotRun);
     else
         m_runs.finish(claim, RunEnd::MayHaveRun);
-    co_return refusal;
+    co_return result;
 }
 
-template <PlacementSource P, RunGuard R>
-PlacementRequest GatewayServer<P, R>::placementRequest(const Request &request, int number) const
+template <FrontEnd F, PlacementSource P, RunGuard R>
+PlacementRequest GatewayServer<F, P, R>::placementRequest(const Request &request, int number) const
 {
     PlacementRequest result;
     result.attempt = {m_context.host, request.id, static_cast<std::uint8_t>(number)};
@@ -228,27 +374,30 @@
     result.remaining = toMilliseconds(request.plan.deadline - SteadyClock().now());
     result.fingerprint = request.fingerprint;
     result.exclude = request.tried;
+    if (request.plan.objective.count() > 0)
+        result.objective = request.plan.objective -
+                           toMilliseconds(SteadyClock().now() - request.arrivedAt);
     return result;
 }
 
-template <PlacementSource P, RunGuard R>
-Task<std::optional<Refusal>> GatewayServer<P, R>::runAttempts(CallerConnection &caller,
-                                                              Request &request)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<typename GatewayServer<F, P, R>::Result>
+GatewayServer<F, P, R>::runAttempts(SessionPtr session, RequestPtr request)
 {
-    const std::string service = request.plan.service.value();
+    const std::string service = request->plan.service.value();
     // Once any attempt may have run, no later refusal can say that the request was not run.
     RunCertainty certainty = RunCertainty::NotRun;
+    std::optional<Answer> failed;
     for (int number = 1;; ++number) {
-        const PlacementRequest wanted = placementRequest(request, number);
-        const auto gone = std::make_shared<bool>(false);
-        if (request.bodyBuffered)
-            caller.watch([this, gone, id = wanted.attempt] {
-                *gone = true;
-                m_placements.abandon(id);
-            });
-        auto placed = co_await m_placements.place(wanted, request.plan.deadline);
-        caller.unwatch();
+        const PlacementRequest wanted = placementRequest(*request, number);
+        request->cancel = [this, id = wanted.attempt] { m_placements.abandon(id); };
+        if (session->callerGone)
+            throw CallerError("the caller went away before its request was sent");
+        auto placed = co_await m_placements.place(wanted, request->plan.deadline);
+        request->cancel = nullptr;
         if (auto *refusal = std::get_if<Refusal>(&placed)) {
+            if (failed)
+                co_return std::move(*failed);
             if (certainty == RunCertainty::MayHaveRun)
                 refusal->certainty = certainty;
             co_return *refusal;
@@ -257,110 +406,134 @@
         AttemptResult result;
         {
             ReportOnExit guard(m_placements, {.attempt = wanted.attempt,
-                                              .service = request.plan.service,
+                                              .service = request->plan.service,
                                               .grant = target.placement.grant,
                                               .target = target.placement.target,
                                               .incarnation = std::nullopt,
-                                              .reportedInFlight = std::nullopt});
-            if (*gone)
+                                              .reportedInFlight = std::nullopt,
+                                              .load = std::nullopt});
+            if (session->callerGone)
                 throw CallerError("the caller went away while it waited for a target");
-            result = co_await attempt(caller, request, target, guard.report());
+            result = co_await attempt(session, request, target, guard.report());
         }
-        if (result.answered)
-            co_return std::nullopt;
+        if (result.passedOn)
+            co_return PassedOn{};
+        if (result.outcome == AttemptOutcome::Answered)
+            co_return std::move(*result.answer);
+        if (result.answer)
+            failed = std::move(result.answer);
         if (certaintyOf(result.outcome) == RunCertainty::MayHaveRun)
             certainty = RunCertainty::MayHaveRun;
         AttemptEnd end;
         end.outcome = result.outcome;
         end.attempts = number;
-        end.maxAttempts = request.plan.maxAttempts;
-        end.idempotent = request.plan.idempotent;
+        end.maxAttempts = request->plan.maxAttempts;
+        end.idempotent = request->plan.idempotent;
         end.replayable =
-                request.bodyBuffered || certaintyOf(result.outcome) == RunCertainty::NotRun;
-        end.timeLeft = request.plan.deadline - SteadyClock().now();
+                request->bodyBuffered || certaintyOf(result.outcome) == RunCertainty::NotRun;
+        end.timeLeft = request->plan.deadline - SteadyClock().now();
         if (auto refusal = decideAfterAttempt(end)) {
+            if (failed)
+                co_return std::move(*failed);
             refusal->certainty = certainty;
-            co_return refusal;
+            co_return *refusal;
         }
         m_context.metrics.count("endivedock_retries_total",
                                 {{"service", service}, {"reason", std::string(name(end.outcome))}});
-        request.tried.push_back(target.placement.target);
+        request->tried.push_back(target.placement.target);
     }
 }
 
-template <PlacementSource P, RunGuard R>
-RequestHead GatewayServer<P, R>::headForTarget(const Request &request) const
+template <FrontEnd F, PlacementSource P, RunGuard R>
+RequestHead GatewayServer<F, P, R>::headForTarget(const Request &request,
+                                                  const TargetId &target) const
 {
-    using gateway_detail::setField;
     RequestHead head = request.head;
     head.path = request.plan.targetPath;
-    const auto left = toMilliseconds(request.plan.deadline - SteadyClock().now());
-    setField(head.fields, timeoutField, std::to_string(std::max<std::int64_t>(left.count(), 0)));
-    if (!findField(head.fields, requestIdField))
-        setField(head.fields, requestIdField, formatRequestId(request.id));
-    if (!request.tried.empty())
-        setField(head.fields, retryField, std::to_string(request.tried.size()));
+    const Milliseconds left = toMilliseconds(request.plan.deadline - SteadyClock().now());
+    m_front.prepare(head.fields, request.plan, {target, request.tried.size(), left}, request.id);
     return head;
 }
 
-template <PlacementSource P, RunGuard R>
-Task<typename GatewayServer<P, R>::AttemptResult>
-GatewayServer<P, R>::attempt(CallerConnection &caller, Request &request, const PlacedTarget &target,
-                             AttemptReport &report)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<typename GatewayServer<F, P, R>::AttemptResult>
+GatewayServer<F, P, R>::attempt(SessionPtr session, RequestPtr request, PlacedTarget target,
+                                AttemptReport &report)
 {
     const TimePoint startedAt = SteadyClock().now();
     AttemptResult result;
-    bool callerGone = false;
+    bool sent = false;
+    std::string cause;
     try {
+        const TimePoint connectBy =
+                std::min(request->plan.deadline, startedAt + target.connectTimeout);
         PooledConnection connection = co_await m_pool.acquire(
-                target.address, target.connectionLimit, request.plan.deadline);
-        connection->setDeadline(request.plan.deadline);
+                target.address, target.connectionLimit, target.oldestIdle, connectBy);
+        if (session->callerGone)
+            throw CallerError("the caller went away before its request was sent");
+        connection->setDeadline(request->plan.deadline);
         TargetConnection *raw = &*connection;
-        co_await sendRequest(caller, request, *connection);
-        if (caller.bodyDone())
-            caller.watch([raw, &callerGone] {
-                callerGone = true;
-                raw->close(); // The target sees the cancellation.
-            });
-        result = co_await passAnswer(caller, request, *connection, report);
+        request->cancel = [raw] { raw->close(); }; // The target sees the cancellation.
+        sent = true;
+        co_await sendRequest(session, request, target.placement.target, *connection);
+        result = co_await takeAnswer(session, request, *connection, report);
     } catch (const TargetConnectError &error) {
         result.outcome = AttemptOutcome::ConnectFailed;
-        m_log.debug("No connection to a target",
-                    {field("target", target.placement.target), field("error", error.what())});
+        cause = error.what();
     } catch (const TargetError &error) {
         result.outcome =
                 error.timedOut() ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectionLost;
+        cause = error.what();
+    } catch (...) {
+        request->cancel = nullptr;
+        throw;
     }
-    caller.unwatch();
-    if (callerGone) {
+    request->cancel = nullptr;
+    if (session->callerGone) {
         report.outcome = AttemptOutcome::Abandoned;
-        throw CallerError("the caller went away");
+        throw CallerError(sent ? "the caller went away while a target worked"
+                               : "the caller went away");
     }
     report.outcome = result.outcome;
     report.time = gateway_detail::microsecondsSince(startedAt);
-    request.targetTime += report.time;
+    request->targetTime += report.time;
+    m_log.info("Attempt ended",
+               {field("request", request->plan.callerId), field("target", target.placement.target),
+                field("service", request->plan.service), field("outcome", name(result.outcome)),
+                field("attempt", request->tried.size() + 1),
+                field("took_ms", report.time.count() / 1000),
+                field("config", request->plan.configuration),
+                field("left_ms", toMilliseconds(request->plan.deadline - SteadyClock().now()).count()),
+                field("cause", cause.empty() ? "-" : cause)});
     co_return result;
 }
 
-template <PlacementSource P, RunGuard R>
-Task<> GatewayServer<P, R>::sendRequest(CallerConnection &caller, Request &request,
-                                        TargetConnection &target)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::sendRequest(SessionPtr session, RequestPtr request, TargetId target,
+                                           TargetConnection &connection)
 {
     try {
-        co_await target.sendHead(headForTarget(request));
-        if (!request.bodyStart.empty())
-            co_await target.sendBody(request.bodyStart);
-        std::uint64_t sent = request.bodyStart.size();
-        const std::span<char> piece = caller.scratch();
-        while (!caller.bodyDone()) {
+        co_await connection.sendHead(headForTarget(*request, target));
+        if (request->bodyBuffered && request->bodyStart.size() > gateway_detail::writtenAtOnce) {
+            // The target may answer before it has read the whole body.
+            const std::span<const char> body(request->bodyStart);
+            connection.sendBodyAside(std::shared_ptr<const void>(request), body);
+            co_return;
+        }
+        if (!request->bodyStart.empty())
+            co_await connection.sendBody(request->bodyStart);
+        std::uint64_t sent = request->bodyStart.size();
+        CallerConnection &caller = session->caller;
+        const std::span<char> piece = request->bodyBuffered ? std::span<char>{} : caller.scratch();
+        while (!request->bodyBuffered && !caller.bodyDone()) {
             const std::size_t count = co_await caller.readBody(piece);
             sent += count;
-            if (sent > request.plan.maxBody.value())
+            if (sent > request->plan.maxBody.value())
                 throw CallerRequestError(RefusalReason::BodyTooLarge, RunCertainty::MayHaveRun);
             if (count > 0)
-                co_await target.sendBody({piece.data(), count});
+                co_await connection.sendBody({piece.data(), count});
         }
-        co_await target.endRequest();
+        co_await connection.endRequest();
     } catch (const TargetError &error) {
         if (error.timedOut())
             throw;
@@ -368,67 +541,108 @@
     }
 }
 
-template <PlacementSource P, RunGuard R>
-Task<typename GatewayServer<P, R>::AttemptResult>
-GatewayServer<P, R>::passAnswer(CallerConnection &caller, Request &request,
-                                TargetConnection &target, AttemptReport &report)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<typename GatewayServer<F, P, R>::AttemptResult>
+GatewayServer<F, P, R>::takeAnswer(SessionPtr session, RequestPtr request, TargetConnection &target,
+                                   AttemptReport &report)
 {
-    AnswerHead head = co_await target.readHead();
-    const TargetReport shown = parseTargetReport(head.fields);
+    AnswerHead head;
+    std::vector<char> body;
+    while (true) {
+        head = co_await target.readHead();
+        body.clear();
+        const AnswerOrigin origin = m_front.origin(head, request->plan);
+        if (origin == AnswerOrigin::Unusable)
+            throw TargetError("the answer is not one to this request", false);
+        while (body.size() <= gateway_detail::keptAnswerBytes) {
+            const std::size_t filled = body.size();
+            body.resize(filled + std::min<std::size_t>(
+                                         std::max<std::size_t>(head.framing.length.value_or(0), 2048),
+                                         32 * 1024));
+            const std::size_t count =
+                    co_await target.readBody({body.data() + filled, body.size() - filled});
+            body.resize(filled + count);
+            if (count == 0)
+                break;
+        }
+        if (origin == AnswerOrigin::Ours)
+            break;
+        m_context.metrics.count("endivedock_foreign_answers_total",
+                                {{"service", request->plan.service.value()}});
+    }
+    const TargetReport shown = m_front.report(head);
     report.incarnation = shown.incarnation;
     report.reportedInFlight = shown.inFlight;
-    const std::span<char> piece = caller.scratch();
-    if (head.status == 503 && shown.notRun) {
-        while (co_await target.readBody(piece) > 0) {
-        }
-        co_return AttemptResult{shown.draining ? AttemptOutcome::Draining : AttemptOutcome::Shed,
-                                false};
+    report.load = shown.load;
+    report.misdirected = shown.misdirected;
+    AttemptResult result;
+    if (shown.notRun) {
+        result.outcome = shown.draining ? AttemptOutcome::Draining : AttemptOutcome::Shed;
+        co_return result;
     }
-    std::erase_if(head.fields, gateway_detail::isTargetReport);
-    gateway_detail::setField(head.fields, requestIdField, formatRequestId(request.id));
-    caller.unwatch();
+    std::erase_if(head.fields, [this](const HeaderField &field) { return m_front.isInternal(field); });
+    m_front.finish(head.fields, request->id);
+    if (!target.answerComplete())
+        co_return co_await passOn(session, request, target, report, std::move(head),
+                                  std::move(body));
+    result.outcome = head.status >= 500 ? AttemptOutcome::Failed : AttemptOutcome::Answered;
+    result.answer = Answer{std::move(head), std::move(body)};
+    co_return result;
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<typename GatewayServer<F, P, R>::AttemptResult>
+GatewayServer<F, P, R>::passOn(SessionPtr session, RequestPtr request, TargetConnection &target,
+                               AttemptReport &report, AnswerHead head, std::vector<char> start)
+{
+    CallerConnection &caller = session->caller;
+    co_await awaitTurn(session, request->number);
     try {
-        co_await caller.sendHead(head);
-        while (const std::size_t count = co_await target.readBody(piece))
+        std::vector<char> piece = std::move(start);
+        std::size_t count = piece.size();
+        co_await caller.sendHead(head, request->terms);
+        while (count > 0) {
             co_await caller.sendBody({piece.data(), count});
+            count = co_await target.readBody(piece);
+        }
         co_await caller.endAnswer();
     } catch (const TargetError &error) {
         // The caller has the beginning of an answer; it must see that the rest is missing.
-        caller.abort();
         report.outcome = AttemptOutcome::ConnectionLost;
         m_context.metrics.count("endivedock_answers_cut_off_total",
-                                {{"service", request.plan.service.value()}});
+                                {{"service", request->plan.service.value()}});
         throw CallerError(std::string("the target broke off its answer: ") + error.what());
     }
-    co_return AttemptResult{head.status >= 500 ? AttemptOutcome::Failed : AttemptOutcome::Answered,
-                            true};
+    AttemptResult result;
+    result.outcome = head.status >= 500 ? AttemptOutcome::Failed : AttemptOutcome::Answered;
+    result.passedOn = true;
+    co_return result;
 }
 
-template <PlacementSource P, RunGuard R>
-Task<> GatewayServer<P, R>::refuse(CallerConnection &caller, const Refusal &refusal, RequestId id,
-                                   const std::string &service)
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::refuse(SessionPtr session, RequestPtr request, Refusal refusal)
 {
     const RefusalDescription &description = describe(refusal.reason);
     const bool notRun = refusal.certainty == RunCertainty::NotRun;
     m_context.metrics.count("endivedock_refusals_total",
-                            {{"service", service},
+                            {{"service", request->plan.service.value()},
                              {"reason", std::string(description.name)},
                              {"run", notRun ? "not-run" : "may-have-run"}});
-    m_log.debug("Refused a request",
-                {field("request", formatRequestId(id)), field("service", service),
-                 field("reason", description.name)});
-    const std::string body = formatProblem(refusal, id);
-    AnswerHead head;
-    head.status = description.httpStatus;
-    head.framing.length = body.size();
-    head.fields = {{"Content-Type", "application/problem+json"},
-                   {std::string(notRunField), notRun ? "true" : "false"},
-                   {std::string(requestIdField), formatRequestId(id)}};
-    if (description.retryAfter.count() > 0)
-        head.fields.push_back({"Retry-After", std::to_string(description.retryAfter.count())});
-    co_await caller.sendHead(head);
-    co_await caller.sendBody(body);
-    co_await caller.endAnswer();
+    const RefusalAnswer answer = m_front.refuse(refusal, request->head, request->id);
+    m_log.info("Rejected",
+               {field("request", request->plan.callerId), field("service", request->plan.service),
+                field("reason", description.name), field("run", notRun ? "not-run" : "may-have-run"),
+                field("status", answer.head.status),
+                field("retry_after_ms", refusal.retryAfter.value_or(Milliseconds(0)).count()),
+                field("attempts", request->tried.size()),
+                field("config", request->plan.configuration)});
+    co_await awaitTurn(session, request->number);
+    if (m_discouraging)
+        request->terms.keepAlive = false;
+    session->closing = session->closing || !request->terms.keepAlive;
+    co_await session->caller.sendAnswer(answer.head, answer.body, request->terms);
+    if (!request->terms.keepAlive)
+        session->caller.shutdownSend();
 }
 
 } // namespace endivedock
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -3,11 +3,13 @@
 #include "endivedock/config.h"
 #include "endivedock/gateway/attempt_policy.h"
 #include "endivedock/gateway/caller_connection.h"
+#include "endivedock/gateway/front_end.h"
 #include "endivedock/gateway/request_plan.h"
 #include "endivedock/gateway/target_pool.h"
 #include "endivedock/telemetry.h"
 
 #include <concepts>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -22,6 +24,10 @@
     Placement placement;
     Address address;
     Connections connectionLimit{1};
+    /** After this time without a connection the attempt fails as not run. */
+    Milliseconds connectTimeout{1000};
+    /** Older idle connections are not used: the target may have forgotten them. */
+    Milliseconds oldestIdle{30'000};
 };
 
 /** Where placements come from. */
@@ -68,33 +74,43 @@
 struct GatewayContext
 {
     HostId host;
-    const NewestConfiguration &configuration;
     Metrics &metrics;
     Random &random;
 };
 
+/** What the gateway did last, for a graceful shutdown. */
+struct GatewayActivity
+{
+    std::size_t openConnections = 0;
+    std::size_t openRequests = 0;
+    /** When the last connection or request arrived. */
+    TimePoint lastArrival;
+};
+
 /**
  * Takes requests from callers and brings each one the answer of one target. One task for each
- * caller's connection; it reads the request, claims, places, exchanges and answers, in that order.
+ * caller's connection reads the requests; one for each request claims, places, exchanges and
+ * answers, in that order. Requests that a caller sends before the answer to an earlier one run at
+ * the same time if all are idempotent; answers keep the order of the requests.
  *
+ * @tparam F  interface towards callers and targets
  * @tparam P  source of placements; outlives the server
  * @tparam R  guard of runs; outlives the server
  */
-template <PlacementSource P, RunGuard R>
+template <FrontEnd F, PlacementSource P, RunGuard R>
 class GatewayServer
 {
 public:
     /** @throws HttpError if @p listen cannot be bound */
     GatewayServer(asio::any_io_executor executor, const Address &listen, GatewayContext context,
-                  P &placements, R &runs);
+                  F front, P &placements, R &runs);
 
     Address localAddress() const;
-    /** Accepts no further connections; those open are closed after their present request. */
+    /** Each further answer closes its connection; new connections are still taken. */
+    void discourage();
+    /** Accepts no further connections; those open are closed after their present requests. */
     void stopAccepting();
-    /** Connections of callers that are open. */
-    std::size_t openConnections() const { return m_callers.size(); }
-    /** When the last connection or request arrived. */
-    TimePoint lastArrival() const { return m_lastArrival; }
+    GatewayActivity activity() const;
 
 private:
     struct Request
@@ -102,46 +118,97 @@
         RequestHead head;
         RequestPlan plan;
         RequestId id;
+        /** Position on its connection. */
+        std::uint64_t number = 0;
         TimePoint arrivedAt;
         Fingerprint fingerprint;
         std::vector<char> bodyStart;
         bool bodyBuffered = false;
         std::vector<TargetId> tried;
         Microseconds targetTime{0};
+        AnswerTerms terms;
+        /** Ends what the request waits for, should its caller go away. */
+        std::function<void()> cancel;
+    };
+    /** One caller's connection with its requests in progress. */
+    struct Session
+    {
+        Session(asio::ip::tcp::socket socket, const asio::any_io_executor &executor)
+            : caller(std::move(socket))
+            , changed(executor, TimePoint::max())
+        {
+        }
+        CallerConnection caller;
+        /** Cancelled whenever one of the fields below changes. */
+        asio::steady_timer changed;
+        std::uint64_t read = 0;
+        std::uint64_t answered = 0;
+        std::map<std::uint64_t, std::shared_ptr<Request>> open;
+        /** The request read last is not idempotent, so nothing may run beside it. */
+        bool exclusive = false;
+        bool callerGone = false;
+        /** An answer that closes the connection has been sent, or will be. */
+        bool closing = false;
+    };
+    using SessionPtr = std::shared_ptr<Session>;
+    using RequestPtr = std::shared_ptr<Request>;
+    /** A whole answer of a target, kept until it is its turn. */
+    struct Answer
+    {
+        AnswerHead head;
+        std::vector<char> body;
+    };
+    /** The answer was too long to be kept and has been passed on piece by piece. */
+    struct PassedOn
+    {
     };
-    /** What an attempt came to; an answer that was passed on needs nothing more. */
+    using Result = std::variant<Refusal, Answer, PassedOn>;
+    /** What an attempt came to. */
     struct AttemptResult
     {
         AttemptOutcome outcome = AttemptOutcome::Abandoned;
-        bool answered = false;
+        bool passedOn = false;
+        /** Present where the target gave one that may be passed on. */
+        std::optional<Answer> answer;
     };
     class ReportOnExit;
 
     Task<> accept();
-    Task<> serve(asio::ip::tcp::socket socket);
-    Task<> serveRequest(CallerConnection &caller, RequestHead head);
-    Task<std::optional<Refusal>> runClaimed(CallerConnection &caller, Request &request);
-    Task<std::optional<Refusal>> runAttempts(CallerConnection &caller, Request &request);
-    Task<AttemptResult> attempt(CallerConnection &caller, Request &request,
-                                const PlacedTarget &target, AttemptReport &report);
-    Task<> sendRequest(CallerConnection &caller, Request &request, TargetConnection &target);
-    Task<AttemptResult> passAnswer(CallerConnection &caller, Request &request,
-                                   TargetConnection &target, AttemptReport &report);
-    Task<> readBodyStart(CallerConnection &caller, Request &request);
-    Task<> refuse(CallerConnection &caller, const Refusal &refusal, RequestId id,
-                  const std::string &service);
+    Task<> serve(SessionPtr session);
+    Task<> readRequests(SessionPtr session);
+    Task<> readRequest(SessionPtr session, RequestHead head);
+    Task<> exchange(SessionPtr session, RequestPtr request);
+    Task<> answer(SessionPtr session, RequestPtr request, Result result);
+    Task<> awaitTurn(SessionPtr session, std::uint64_t number);
+    void finishRequest(Session &session, const Request &request);
+    void callerIsGone(Session &session);
+    void notify(Session &session);
+    Task<Result> runClaimed(SessionPtr session, RequestPtr request);
+    Task<Result> runAttempts(SessionPtr session, RequestPtr request);
+    Task<AttemptResult> attempt(SessionPtr session, RequestPtr request, PlacedTarget target,
+                                AttemptReport &report);
+    Task<> sendRequest(SessionPtr session, RequestPtr request, TargetId target,
+                       TargetConnection &connection);
+    Task<AttemptResult> takeAnswer(SessionPtr session, RequestPtr request, TargetConnection &target,
+                                   AttemptReport &report);
+    Task<AttemptResult> passOn(SessionPtr session, RequestPtr request, TargetConnection &target,
+                               AttemptReport &report, AnswerHead head, std::vector<char> start);
+    Task<> readBodyStart(CallerConnection &caller, RequestPtr request);
+    Task<> refuse(SessionPtr session, RequestPtr request, Refusal refusal);
     PlacementRequest placementRequest(const Request &request, int number) const;
-    RequestHead headForTarget(const Request &request) const;
+    RequestHead headForTarget(const Request &request, const TargetId &target) const;
     void countAnswer(const Request &request);
 
     asio::any_io_executor m_executor;
     asio::ip::tcp::acceptor m_acceptor;
     GatewayContext m_context;
+    F m_front;
     P &m_placements;
     R &m_runs;
     TargetPool m_pool;
-    std::set<CallerConnection *> m_callers;
+    std::set<Session *> m_sessions;
     TimePoint m_lastArrival;
+    bool m_discouraging = false;
     bool m_stopping = false;
     Log m_log{"gateway"};
 };
--- a/include/endivedock/gateway/http_message.h
+++ b/include/endivedock/gateway/http_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/core.h"
+#include "endivedock/placement/messages.h"
 
 #include <optional>
 #include <string>
@@ -30,6 +31,16 @@
     bool chunked = false;
 };
 
+/** What callers may send, and how long they may take. */
+struct CallerLimits
+{
+    Bytes header{16 * 1024};
+    /** A header must arrive whole within this time of its first byte. */
+    Milliseconds headerTime{10'000};
+    /** A connection without a request in progress is closed after this time. */
+    Milliseconds idleTime{120'000};
+};
+
 /** A request without its body; fields that concern one connection only are left out. */
 struct RequestHead
 {
@@ -38,6 +49,10 @@
     HeaderFields fields;
     BodyFraming framing;
     bool expectsContinue = false;
+    /** Minor version of HTTP/1 that the caller speaks. */
+    int minorVersion = 1;
+    /** The caller means to send further requests on the connection. */
+    bool keepAlive = true;
 };
 
 /** An answer without its body; fields that concern one connection only are left out. */
@@ -71,8 +86,11 @@
 {
     std::optional<Incarnation> incarnation;
     std::optional<Slots> inFlight;
+    std::optional<ReportedLoad> load;
     bool notRun = false;
     bool draining = false;
+    /** Another target has taken over the address. */
+    bool misdirected = false;
 };
 
 /** Reads the target's report; fields that cannot be read count as absent. */
--- a/include/endivedock/gateway/request_plan.h
+++ b/include/endivedock/gateway/request_plan.h
@@ -27,6 +27,12 @@
     /** A nested call above this one is a retry. */
     bool inheritedRetry = false;
     Bytes maxBody{0};
+    /** Time from arrival within which an answer is worth most; zero if none is declared. */
+    Milliseconds objective{0};
+    /** The id that the caller gave, which its target repeats; empty if it gave none. */
+    std::string callerId;
+    /** Revision of the configuration that the plan follows, for the log. */
+    Revision configuration;
 };
 
 /**
--- a/include/endivedock/gateway/target_connection.h
+++ b/include/endivedock/gateway/target_connection.h
@@ -4,6 +4,7 @@
 #include "endivedock/net.h"
 
 #include <memory>
+#include <optional>
 #include <span>
 
 namespace endivedock {
@@ -45,10 +46,21 @@
     Task<> sendHead(const RequestHead &head);
     Task<> sendBody(std::span<const char> piece);
     Task<> endRequest();
+    /**
+     * Sends the rest of the request while its answer is read: the target may answer before it has
+     * read a long body.
+     *
+     * @param owner  keeps @p body until it is sent
+     */
+    void sendBodyAside(std::shared_ptr<const void> owner, std::span<const char> body);
     Task<AnswerHead> readHead();
     /** @return bytes read; 0 at the end of a complete body */
     Task<std::size_t> readBody(std::span<char> into);
 
+    /** @return whether the last answer has been read to its end */
+    bool answerComplete() const;
+    /** How long the target said that it keeps an idle connection; absent if it did not say. */
+    std::optional<Milliseconds> keptIdle() const;
     /** @return whether the last exchange is complete and the target keeps the connection open */
     bool reusable() const;
     /** @return whether the target has closed an idle connection, or sent what nobody asked for */
@@ -58,7 +70,7 @@
 
 private:
     class Impl;
-    std::unique_ptr<Impl> m_impl;
+    std::shared_ptr<Impl> m_impl;
 };
 
 } // namespace endivedock
--- a/include/endivedock/gateway/target_pool.h
+++ b/include/endivedock/gateway/target_pool.h
@@ -49,10 +49,12 @@
     }
 
     /**
-     * @param limit  connections that this host may have open to the target
+     * @param limit       connections that this host may have open to the target
+     * @param oldestIdle  connections that were idle for longer are closed instead of used
      * @throws TargetConnectError if none is idle and none can be opened by @p deadline
      */
-    Task<PooledConnection> acquire(Address target, Connections limit, TimePoint deadline);
+    Task<PooledConnection> acquire(Address target, Connections limit, Milliseconds oldestIdle,
+                                   TimePoint deadline);
 
     Connections open(const Address &target) const;
 
@@ -70,7 +72,7 @@
         int open = 0;
     };
 
-    std::unique_ptr<TargetConnection> takeIdle(Pool &pool);
+    std::unique_ptr<TargetConnection> takeIdle(Pool &pool, Milliseconds oldestIdle);
     void giveBack(const Address &target, std::unique_ptr<TargetConnection> connection);
 
     asio::any_io_executor m_executor;
--- /dev/null
+++ b/include/endivedock/loadnews/codec.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "endivedock/core/codec.h"
+#include "endivedock/loadnews/messages.h"
+#include "endivedock/moves/codec.h"
+
+namespace endivedock {
+
+template <typename Archive>
+void serialize(Archive &archive, TargetNews &news)
+{
+    archive(news.target, news.inFlight, news.slowdown, news.age);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, MoveAnswer &answer)
+{
+    archive(answer.side, answer.route, answer.failed, answer.time);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ServiceNews &news)
+{
+    archive(news.service, news.targets, news.answers, news.move);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, HostNews &news)
+{
+    archive(news.registry, news.services);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ServicePicture &picture)
+{
+    archive(picture.service, picture.others, picture.move);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, HostPicture &picture)
+{
+    archive(picture.registry, picture.services);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RegistryEntry &entry)
+{
+    archive(entry.key, entry.value, entry.modified);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RegistryRequest &request)
+{
+    archive(request.known);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RegistryCopy &copy)
+{
+    archive(copy.revision, copy.entries);
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/loadnews/relay_choice.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "endivedock/core.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace endivedock {
+
+/**
+ * Which host relays for each service: the first by rendezvous hashing that answers. Hosts that
+ * disagree for a moment only see a part of the others' counts.
+ */
+class RelayChoice
+{
+public:
+    explicit RelayChoice(HostId self)
+        : m_self(self)
+    {
+    }
+
+    /** @param hosts  all entry hosts that are known; this one is always a candidate */
+    void setHosts(const std::vector<HostId> &hosts);
+    HostId relayFor(const ServiceId &service, TimePoint now) const;
+    void asked(HostId host, TimePoint now);
+    void heard(HostId host, TimePoint now);
+
+    /** A host that was asked and has been silent for this long is passed over. */
+    static constexpr Milliseconds patience{300};
+    /** And is tried again after this time. */
+    static constexpr Milliseconds retry{1500};
+
+private:
+    struct Contact
+    {
+        /** First question since the last answer; absent if none is open. */
+        std::optional<TimePoint> waitingSince;
+    };
+
+    bool silent(HostId host, TimePoint now) const;
+
+    HostId m_self;
+    std::vector<HostId> m_hosts;
+    std::map<HostId, Contact> m_contacts;
+};
+
+} // namespace endivedock
--- a/include/endivedock/moves/version_mover.h
+++ b/include/endivedock/moves/version_mover.h
@@ -36,6 +36,9 @@
 /** @return what both tell together; taken back never turns into anything else */
 MoveProgress mergeProgress(const MoveProgress &a, const MoveProgress &b);
 
+/** @return the part of the requests that the new version gets at this point */
+Share shareOf(const MoveProgress &progress);
+
 /** Times of a move on the monotonic clock. */
 struct MoveTimes
 {
--- a/include/endivedock/peers/peer_stream.h
+++ b/include/endivedock/peers/peer_stream.h
@@ -19,6 +19,9 @@
 /** @throws PeerError if the peer closed, or announces a frame that is too long */
 Task<std::string> readFrame(asio::ip::tcp::socket &socket);
 
+/** Receiver of a question to whatever host is at an address. */
+inline const HostId anyHost{0};
+
 constexpr std::size_t longestFrame = 32u << 20;
 constexpr Milliseconds streamTimeout{3000};
 
@@ -67,7 +70,8 @@
                 throw PeerError("the answer is not authentic");
             PeerHeader answered;
             Message answer = Codec::decode(*plain, answered);
-            if (answered.sender != receiver || answered.sequence != header.sequence)
+            const bool expected = receiver == anyHost || answered.sender == receiver;
+            if (!expected || answered.sequence != header.sequence)
                 throw PeerError("the answer is to another question");
             co_return answer;
         } catch (const boost::system::system_error &error) {
@@ -105,7 +109,7 @@
                 co_return;
             PeerHeader header;
             const Message question = Codec::decode(*plain, header);
-            if (header.receiver != m_self)
+            if (header.receiver != m_self && header.receiver != anyHost)
                 co_return;
             const auto answer = m_handler(header, question);
             if (!answer)
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -35,6 +35,8 @@
     Fingerprint fingerprint;
     /** Targets that this request has been on. */
     std::vector<TargetId> exclude;
+    /** Time from arrival within which an answer is worth most to the caller; not sent to others. */
+    Milliseconds objective{0};
 };
 
 /** The right to send the attempt to a target. */
@@ -72,6 +74,18 @@
     ServiceId service;
 };
 
+/** What a target tells of its load with an answer. */
+struct ReportedLoad
+{
+    Slots running{0};
+    Slots waiting{0};
+    Slots slots{0};
+    /** How much longer than usual its work takes at the moment; 1 is usual. */
+    double slowdown = 1;
+
+    bool operator==(const ReportedLoad &) const = default;
+};
+
 /** How an attempt at a target ended. */
 enum class AttemptOutcome : std::uint8_t {
     /** A whole answer that is no server error. */
@@ -103,6 +117,10 @@
     /** What the target showed of itself with the answer. */
     std::optional<Incarnation> incarnation;
     std::optional<Slots> reportedInFlight;
+    /** Used only by a host that places its own requests; not sent to others. */
+    std::optional<ReportedLoad> load;
+    /** Another target answered at the address; not sent to others. */
+    bool misdirected = false;
 };
 
 /** Confirms an AttemptReport, which is repeated until then. */
--- a/include/endivedock/store/store_concept.h
+++ b/include/endivedock/store/store_concept.h
@@ -42,6 +42,28 @@
     std::vector<StoreEntry> entries;
 };
 
+/** One change of a key; without a value it was removed. */
+struct StoreChange
+{
+    std::string key;
+    std::optional<std::string> value;
+    Revision modified;
+};
+
+/** The changes after one revision, up to and including another. */
+struct StoreChanges
+{
+    Revision revision;
+    std::vector<StoreChange> changes;
+};
+
+/** The store no longer holds the changes that were asked for; all keys must be listed again. */
+class HistoryGone : public Error
+{
+public:
+    using Error::Error;
+};
+
 /** One key of a compare-and-swap. */
 struct Swap
 {
@@ -98,6 +120,20 @@
     } -> std::same_as<Task<bool>>;
 };
 
+/**
+ * A store that tells what changed, not only that something did.
+ *
+ *  - watch(prefix, after, timeout)  the changes after revision @p after, as soon as there is one;
+ *                                   none if the time passes; throws HistoryGone
+ */
+template <typename S>
+concept WatchableStore =
+        Store<S> && requires(S store, std::string prefix, Revision after, Milliseconds time) {
+            {
+                store.watch(prefix, after, time)
+            } -> std::same_as<Task<StoreChanges>>;
+        };
+
 /** Stands for "no lease". */
 inline const LeaseId noLease{0};
 
--- /dev/null
+++ b/src/edge/edge_message.cpp
@@ -0,0 +1,24 @@
+#include "endivedock/edge/edge_message.h"
+
+#include "endivedock/loadnews/codec.h"
+#include "endivedock/peers/cereal_codec.h"
+
+namespace endivedock {
+
+namespace {
+
+constexpr std::uint8_t formatVersion = 1;
+
+} // namespace
+
+std::string EdgeCodec::encode(const PeerHeader &header, const EdgeMessage &message)
+{
+    return encodeMessage(formatVersion, header, message);
+}
+
+EdgeMessage EdgeCodec::decode(std::string_view text, PeerHeader &header)
+{
+    return decodeMessage<EdgeMessage>(formatVersion, text, header);
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/src/edge/registry.cpp
@@ -0,0 +1,186 @@
+#include "endivedock/edge/registry.h"
+
+#include "endivedock/edge/edge_settings.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace endivedock {
+
+HostId hostIdOf(const std::string &name)
+{
+    return HostId(static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size())));
+}
+
+void Registry::put(const StoreEntry &entry)
+{
+    const auto found = m_items.find(entry.key);
+    if (found != m_items.end() && !found->second.lapsedUntil &&
+        found->second.entry.modified >= entry.modified)
+        return;
+    RegistryFact fact;
+    try {
+        fact = m_reader(entry);
+    } catch (const RegistryError &error) {
+        // One bad entry must not hide the others; it names nothing that may be used.
+        m_log.warning("Entry cannot be read", {field("key", entry.key),
+                                               field("revision", entry.modified),
+                                               field("error", error.what())});
+    }
+    if (const auto *configuration = std::get_if<ConfigurationFact>(&fact)) {
+        if (m_table && configuration->table->version() <= m_table->version()) {
+            m_log.warning("An older configuration is ignored",
+                          {field("version", configuration->table->version()),
+                           field("in_force", m_table->version())});
+        } else {
+            m_table = configuration->table;
+            m_log.info("Configuration in force",
+                       {field("version", m_table->version()), field("revision", entry.modified),
+                        field("routes", m_table->routes().size())});
+        }
+    }
+    m_items[entry.key] = {entry, std::move(fact), std::nullopt};
+}
+
+void Registry::drop(const std::string &key, TimePoint now)
+{
+    const auto found = m_items.find(key);
+    if (found == m_items.end())
+        return;
+    const auto *target = std::get_if<RegisteredTarget>(&found->second.fact);
+    const bool afterOutage = now - m_returnedAt < lapsedGrace;
+    if (target && !target->draining && afterOutage) {
+        if (!found->second.lapsedUntil)
+            found->second.lapsedUntil = m_returnedAt + lapsedGrace;
+        return;
+    }
+    m_items.erase(found);
+}
+
+bool Registry::applySnapshot(const StoreSnapshot &snapshot, TimePoint now)
+{
+    if (snapshot.revision < m_revision)
+        return false;
+    std::set<std::string> present;
+    for (const auto &entry : snapshot.entries) {
+        present.insert(entry.key);
+        put(entry);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[key, item] : m_items) {
+        if (!present.contains(key))
+            missing.push_back(key);
+    }
+    for (const auto &key : missing)
+        drop(key, now);
+    m_revision = snapshot.revision;
+    return true;
+}
+
+void Registry::applyChanges(const StoreChanges &changes, TimePoint now)
+{
+    for (const auto &change : changes.changes) {
+        if (change.modified <= m_revision)
+            continue;
+        if (change.value)
+            put({change.key, *change.value, change.modified});
+        else
+            drop(change.key, now);
+    }
+    m_revision = std::max(m_revision, changes.revision);
+}
+
+bool Registry::expireLapsed(TimePoint now)
+{
+    return std::erase_if(m_items, [now](const auto &item) {
+               return item.second.lapsedUntil && now >= *item.second.lapsedUntil;
+           }) > 0;
+}
+
+std::vector<RegisteredTarget> Registry::targetsOf(const ServiceId &service) const
+{
+    std::vector<RegisteredTarget> result;
+    for (const auto &[key, item] : m_items) {
+        const auto *target = std::get_if<RegisteredTarget>(&item.fact);
+        if (target && target->service == service)
+            result.push_back(*target);
+    }
+    return result;
+}
+
+std::set<ServiceId> Registry::services() const
+{
+    std::set<ServiceId> result;
+    if (m_table) {
+        for (const auto &[id, rules] : m_table->services())
+            result.insert(id);
+        for (const auto &route : m_table->routes()) {
+            for (const auto &part : route.parts)
+                result.insert(part.service);
+        }
+    }
+    return result;
+}
+
+std::set<ZoneId> Registry::zonesOut() const
+{
+    std::set<ZoneId> result;
+    for (const auto &[key, item] : m_items) {
+        if (const auto *out = std::get_if<ZoneOutFact>(&item.fact))
+            result.insert(out->zone);
+    }
+    return result;
+}
+
+template <typename Fact>
+const Fact *Registry::findFact(const ServiceId &service) const
+{
+    for (const auto &[key, item] : m_items) {
+        const auto *fact = std::get_if<Fact>(&item.fact);
+        if (fact && fact->service == service)
+            return fact;
+    }
+    return nullptr;
+}
+
+std::optional<MoveOrder> Registry::order(const ServiceId &service) const
+{
+    const auto *fact = findFact<MoveOrder>(service);
+    return fact ? std::optional(*fact) : std::nullopt;
+}
+
+std::optional<MoveVerdict> Registry::verdict(const ServiceId &service) const
+{
+    const auto *fact = findFact<MoveVerdict>(service);
+    return fact ? std::optional(*fact) : std::nullopt;
+}
+
+std::vector<RegisteredHost> Registry::hosts() const
+{
+    std::vector<RegisteredHost> result;
+    for (const auto &[key, item] : m_items) {
+        if (const auto *host = std::get_if<RegisteredHost>(&item.fact))
+            result.push_back(*host);
+    }
+    return result;
+}
+
+RegistryCopy Registry::copy() const
+{
+    RegistryCopy result;
+    result.revision = m_revision;
+    for (const auto &[key, item] : m_items) {
+        if (!item.lapsedUntil)
+            result.entries.push_back({key, item.entry.value, item.entry.modified});
+    }
+    return result;
+}
+
+const StoreEntry *Registry::find(const std::string &key) const
+{
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? nullptr : &found->second.entry;
+}
+
+} // namespace endivedock
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -12,13 +12,11 @@
 
 namespace {
 
-constexpr std::uint32_t maxHeaderBytes = 16 * 1024;
-constexpr std::size_t readBufferBytes = 64 * 1024;
-constexpr Seconds idleTimeout{120};
-/** A header must arrive whole within this time of its first byte. */
-constexpr Seconds headerTimeout{10};
+/** The buffer holds the longest header and the start of what follows it. */
+constexpr std::size_t readAheadBytes = 48 * 1024;
 constexpr Seconds bodyPieceTimeout{30};
 constexpr std::size_t scratchBytes = 16 * 1024;
+constexpr unsigned httpOne = 10;
 
 using RequestParser = http::request_parser<http::buffer_body>;
 using Response = http::response<http::buffer_body>;
@@ -35,53 +33,61 @@
     if (const auto length = parser.content_length())
         head.framing.length = *length;
     head.expectsContinue = beast::iequals(message[http::field::expect], "100-continue");
+    head.minorVersion = static_cast<int>(message.version() - httpOne);
+    head.keepAlive = message.keep_alive();
     return head;
 }
 
-/** Two framings, or two lengths, could be read in two ways by two servers. */
-void refuseAmbiguousFraming(const http::fields &fields)
+/** Two servers could read such a message in two ways (RFC 9112, sections 3.2 and 6.3). */
+void refuseAmbiguity(const http::request_header<> &header)
 {
-    const auto lengths = fields.count(http::field::content_length);
-    const auto codings = fields.count(http::field::transfer_encoding);
-    if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0))
+    const auto lengths = header.count(http::field::content_length);
+    const auto codings = header.count(http::field::transfer_encoding);
+    const auto hosts = header.count(http::field::host);
+    const bool coded = codings > 0;
+    const bool onlyChunked =
+            beast::iequals(header[http::field::transfer_encoding], "chunked");
+    const bool old = header.version() < httpOne + 1;
+    if (lengths > 1 || codings > 1 || (lengths > 0 && coded) || (coded && (!onlyChunked || old)))
+        throw CallerRequestError(RefusalReason::BadRequest);
+    if (hosts > 1 || (hosts == 0 && !old))
         throw CallerRequestError(RefusalReason::BadRequest);
 }
 
 } // namespace
 
-class CallerConnection::Impl : public std::enable_shared_from_this<CallerConnection::Impl>
+class CallerConnection::Impl
 {
 public:
     explicit Impl(asio::ip::tcp::socket socket)
         : m_stream(std::move(socket))
-        , m_buffer(readBufferBytes)
     {
-        m_stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        boost::system::error_code ignored; // A caller that has gone already shows at the first read.
+        m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
 
-    Task<bool> awaitFirstByte()
+    Task<bool> awaitFirstByte(Milliseconds idleTime)
     {
         if (m_buffer.size() > 0)
             co_return true;
         boost::system::error_code error;
-        m_idle = true;
-        m_stream.expires_after(idleTimeout);
+        m_stream.expires_after(idleTime);
         const std::size_t count = co_await m_stream.async_read_some(
                 m_buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
-        m_idle = false;
         m_buffer.commit(count);
         co_return !error;
     }
 
-    Task<std::optional<RequestHead>> readHead()
+    Task<std::optional<RequestHead>> readHead(CallerLimits limits)
     {
-        if (m_stopping || !co_await awaitFirstByte())
+        m_buffer.max_size(limits.header.value() + readAheadBytes);
+        if (!co_await awaitFirstByte(limits.idleTime))
             co_return std::nullopt;
         m_parser.emplace();
-        m_parser->header_limit(maxHeaderBytes);
+        m_parser->header_limit(static_cast<std::uint32_t>(limits.header.value()));
         m_parser->body_limit(boost::none);
         boost::system::error_code error;
-        m_stream.expires_after(headerTimeout);
+        m_stream.expires_after(limits.headerTime);
         co_await http::async_read_header(m_stream, m_buffer, *m_parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         if (error == http::error::header_limit || error == http::error::buffer_overflow)
@@ -91,10 +97,7 @@
             throw CallerRequestError(RefusalReason::BadRequest);
         if (error)
             throw CallerError(error.message());
-        refuseAmbiguousFraming(m_parser->get().base());
-        m_keepAlive = m_parser->get().keep_alive();
-        m_version = m_parser->get().version();
-        m_isHead = m_parser->get().method() == http::verb::head;
+        refuseAmbiguity(m_parser->get().base());
         RequestHead head = makeHead(*m_parser);
         m_continueOwed = head.expectsContinue;
         co_return head;
@@ -122,6 +125,11 @@
                 m_stream.expires_after(bodyPieceTimeout);
                 co_await http::async_read_some(m_stream, m_buffer, *m_parser,
                                                asio::redirect_error(asio::use_awaitable, error));
+                if (error.category() ==
+                            http::make_error_code(http::error::bad_method).category() &&
+                    error != http::error::need_buffer && error != http::error::end_of_stream &&
+                    error != http::error::partial_message)
+                    throw CallerRequestError(RefusalReason::BadRequest);
                 if (error && error != http::error::need_buffer)
                     throw boost::system::system_error(error);
                 produced = into.size() - m_parser->get().body().size;
@@ -134,65 +142,43 @@
 
     bool bodyDone() const { return m_parser && m_parser->is_done(); }
 
-    /** @param self  keeps this object while the task waits */
-    Task<> watchSocket(std::function<void()> onGone, std::shared_ptr<Impl> self)
-    {
-        boost::system::error_code error;
-        const std::uint64_t watchNumber = m_watchNumber;
-        co_await self->m_stream.socket().async_wait(
-                asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-        // A wait that ended just before unwatch() must not act for a later watch().
-        if (error || !m_watched || watchNumber != m_watchNumber)
-            co_return;
-        boost::system::error_code ignored;
-        // Readable with nothing to read is the end; data is a further request, sent early.
-        if (m_stream.socket().available(ignored) == 0)
-            onGone();
-    }
-
-    void watch(std::function<void()> onGone)
+    void startAnswer(const AnswerHead &head, const AnswerTerms &terms)
     {
-        if (m_buffer.size() > 0)
-            return;
-        m_watched = true;
-        ++m_watchNumber;
-        m_stream.expires_never();
-        startTask(m_stream.get_executor(), "caller-watch",
-                  watchSocket(std::move(onGone), shared_from_this()));
-    }
-
-    void unwatch()
-    {
-        if (!m_watched)
-            return;
-        m_watched = false;
-        m_stream.cancel();
-    }
-
-    Task<> sendHead(const AnswerHead &head)
-    {
-        m_response.emplace(static_cast<http::status>(head.status), m_version);
+        const bool persistent = terms.minorVersion >= 1;
+        bool keepAlive = terms.keepAlive;
+        m_response.emplace(static_cast<http::status>(head.status), persistent ? 11 : 10);
         Response &response = *m_response;
         for (const auto &field : head.fields)
             response.insert(field.name, field.value);
         m_continueOwed = false;
-        m_chunkedAnswer = false;
-        m_bodyAllowed = !head.bodiless && !m_isHead;
+        m_bodyAllowed = !head.bodiless && !terms.headOnly;
         if (head.framing.length)
             response.content_length(*head.framing.length);
-        else if (m_bodyAllowed && m_version >= 11)
-            m_chunkedAnswer = true;
-        else if (m_bodyAllowed)
-            m_keepAlive = false;
-        if (m_chunkedAnswer)
+        else if (m_bodyAllowed && persistent)
             response.chunked(true);
-        // What is left of a body that nobody read would be taken for the next request.
-        if (!bodyDone() || m_stopping)
-            m_keepAlive = false;
-        response.keep_alive(m_keepAlive);
+        else if (m_bodyAllowed)
+            keepAlive = false;
+        response.keep_alive(keepAlive);
         response.body().data = nullptr;
+        response.body().size = 0;
         response.body().more = true;
         m_serializer.emplace(response);
+    }
+
+    Task<> sendAnswer(AnswerHead head, std::span<const char> body, AnswerTerms terms)
+    {
+        if (!head.bodiless)
+            head.framing.length = body.size();
+        startAnswer(head, terms);
+        m_response->body().data = m_bodyAllowed ? const_cast<char *>(body.data()) : nullptr;
+        m_response->body().size = m_bodyAllowed ? body.size() : 0;
+        m_response->body().more = false;
+        co_await write(!m_bodyAllowed);
+    }
+
+    Task<> sendHead(AnswerHead head, AnswerTerms terms)
+    {
+        startAnswer(head, terms);
         co_await write(true);
     }
 
@@ -236,24 +222,21 @@
         return m_scratch;
     }
 
-    bool reusable() const { return m_keepAlive && !m_stopping; }
-    void closeAfterAnswer() { m_keepAlive = false; }
+    void shutdownSend()
+    {
+        boost::system::error_code ignored; // The caller may have closed first.
+        m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
 
     void abort()
     {
         boost::system::error_code ignored;
-        m_keepAlive = false;
         // A reset, not an orderly end, so that an answer delimited by the end is seen as cut off.
         m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         m_stream.close();
     }
 
-    void stopWhenIdle()
-    {
-        m_stopping = true;
-        if (m_idle)
-            m_stream.cancel();
-    }
+    void close() { m_stream.close(); }
 
 private:
     beast::tcp_stream m_stream;
@@ -262,16 +245,8 @@
     std::optional<Response> m_response;
     std::optional<ResponseSerializer> m_serializer;
     std::vector<char> m_scratch;
-    bool m_keepAlive = true;
-    bool m_isHead = false;
     bool m_continueOwed = false;
-    bool m_chunkedAnswer = false;
     bool m_bodyAllowed = true;
-    bool m_watched = false;
-    std::uint64_t m_watchNumber = 0;
-    bool m_idle = false;
-    bool m_stopping = false;
-    unsigned m_version = 11;
 };
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
@@ -281,9 +256,9 @@
 
 CallerConnection::~CallerConnection() = default;
 
-Task<std::optional<RequestHead>> CallerConnection::readHead()
+Task<std::optional<RequestHead>> CallerConnection::readHead(const CallerLimits &limits)
 {
-    return m_impl->readHead();
+    return m_impl->readHead(limits);
 }
 
 Task<std::size_t> CallerConnection::readBody(std::span<char> into)
@@ -296,24 +271,20 @@
     return m_impl->bodyDone();
 }
 
-void CallerConnection::watch(std::function<void()> onGone)
-{
-    m_impl->watch(std::move(onGone));
-}
-
-void CallerConnection::unwatch()
+std::span<char> CallerConnection::scratch()
 {
-    m_impl->unwatch();
+    return m_impl->scratch();
 }
 
-std::span<char> CallerConnection::scratch()
+Task<> CallerConnection::sendAnswer(const AnswerHead &head, std::span<const char> body,
+                                    const AnswerTerms &terms)
 {
-    return m_impl->scratch();
+    return m_impl->sendAnswer(head, body, terms);
 }
 
-Task<> CallerConnection::sendHead(const AnswerHead &head)
+Task<> CallerConnection::sendHead(const AnswerHead &head, const AnswerTerms &terms)
 {
-    return m_impl->sendHead(head);
+    return m_impl->sendHead(head, terms);
 }
 
 Task<> CallerConnection::sendBody(std::span<const char> piece)
@@ -326,14 +297,9 @@
     return m_impl->endAnswer();
 }
 
-bool CallerConnection::reusable() const
-{
-    return m_impl->reusable();
-}
-
-void CallerConnection::closeAfterAnswer()
+void CallerConnection::shutdownSend()
 {
-    m_impl->closeAfterAnswer();
+    m_impl->shutdownSend();
 }
 
 void CallerConnection::abort()
@@ -341,9 +307,9 @@
     m_impl->abort();
 }
 
-void CallerConnection::stopWhenIdle()
+void CallerConnection::close()
 {
-    m_impl->stopWhenIdle();
+    m_impl->close();
 }
 
 } // namespace endivedock
--- a/src/gateway/target_connection.cpp
+++ b/src/gateway/target_connection.cpp
@@ -3,6 +3,7 @@
 #include "http_fields.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -16,12 +17,26 @@
 
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
 constexpr std::size_t readBufferBytes = 128 * 1024;
-constexpr Milliseconds connectTimeout{1000};
 
 using Request = http::request<http::buffer_body>;
 using RequestSerializer = http::request_serializer<http::buffer_body>;
 using ResponseParser = http::response_parser<http::buffer_body>;
 
+/** @return the time of "timeout=N", N in seconds, in a Keep-Alive field (RFC 2068) */
+std::optional<Milliseconds> parseKeepAlive(beast::string_view value)
+{
+    constexpr std::string_view label = "timeout=";
+    const std::size_t at = value.find(label);
+    if (at == beast::string_view::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const char *begin = value.data() + at + label.size();
+    const auto [end, code] = std::from_chars(begin, value.data() + value.size(), seconds);
+    if (code != std::errc{} || seconds < 0)
+        return std::nullopt;
+    return Seconds(seconds);
+}
+
 TargetError targetError(const boost::system::error_code &error)
 {
     return {error.message(), error == beast::error::timeout};
@@ -29,7 +44,7 @@
 
 } // namespace
 
-class TargetConnection::Impl
+class TargetConnection::Impl : public std::enable_shared_from_this<TargetConnection::Impl>
 {
 public:
     explicit Impl(const asio::any_io_executor &executor)
@@ -41,12 +56,13 @@
     Task<> connect(Address target, TimePoint deadline)
     {
         boost::system::error_code error;
-        m_stream.expires_at(std::min(deadline, SteadyClock().now() + connectTimeout));
+        m_stream.expires_at(deadline);
         co_await m_stream.async_connect(tcpEndpoint(target),
                                         asio::redirect_error(asio::use_awaitable, error));
         if (error)
             throw TargetConnectError(formatAddress(target) + ": " + error.message());
-        m_stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        boost::system::error_code ignored; // A reset right after the handshake shows at the write.
+        m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
 
     void setDeadline(TimePoint deadline) { m_stream.expires_at(deadline); }
@@ -94,6 +110,24 @@
         m_sentWhole = true;
     }
 
+    void sendBodyAside(std::shared_ptr<const void> owner, std::span<const char> body)
+    {
+        startTask(m_stream.get_executor(), "target-body",
+                  writeAside(std::move(owner), body, shared_from_this()));
+    }
+
+    /** @param self  keeps this object while the task writes */
+    Task<> writeAside([[maybe_unused]] std::shared_ptr<const void> owner, std::span<const char> body,
+                      std::shared_ptr<Impl> self)
+    {
+        try {
+            co_await self->sendBody(body);
+            co_await self->endRequest();
+        } catch (const TargetError &) {
+            // The reader of the answer sees the failure of the connection, or has its answer.
+        }
+    }
+
     Task<> write()
     {
         boost::system::error_code error;
@@ -115,9 +149,11 @@
                                              asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 throw targetError(error);
-            if (m_parser->get().result() != http::status::continue_)
+            if (m_parser->get().result_int() >= 200)
                 break;
             m_parser.emplace();
+            m_parser->header_limit(maxHeaderBytes);
+            m_parser->body_limit(boost::none);
             m_parser->skip(m_isHead);
         } while (true);
         co_return makeHead();
@@ -133,6 +169,7 @@
         if (const auto length = m_parser->content_length())
             head.framing.length = *length;
         head.bodiless = m_isHead || head.status == 204 || head.status == 304;
+        m_keptIdle = parseKeepAlive(message[http::field::keep_alive]);
         finishIfDone();
         return head;
     }
@@ -165,6 +202,8 @@
         m_sentWhole = false;
     }
 
+    bool answerComplete() const { return m_parser && m_parser->is_done(); }
+    std::optional<Milliseconds> keptIdle() const { return m_keptIdle; }
     bool reusable() const { return m_reusable; }
 
     bool stale()
@@ -189,14 +228,18 @@
     bool m_hasBody = false;
     bool m_sentWhole = false;
     bool m_reusable = false;
+    std::optional<Milliseconds> m_keptIdle;
 };
 
 TargetConnection::TargetConnection(const asio::any_io_executor &executor)
-    : m_impl(std::make_unique<Impl>(executor))
+    : m_impl(std::make_shared<Impl>(executor))
 {
 }
 
-TargetConnection::~TargetConnection() = default;
+TargetConnection::~TargetConnection()
+{
+    m_impl->close();
+}
 
 Task<> TargetConnection::connect(Address target, TimePoint deadline)
 {
@@ -233,6 +276,21 @@
     return m_impl->readBody(into);
 }
 
+void TargetConnection::sendBodyAside(std::shared_ptr<const void> owner, std::span<const char> body)
+{
+    m_impl->sendBodyAside(std::move(owner), body);
+}
+
+bool TargetConnection::answerComplete() const
+{
+    return m_impl->answerComplete();
+}
+
+std::optional<Milliseconds> TargetConnection::keptIdle() const
+{
+    return m_impl->keptIdle();
+}
+
 bool TargetConnection::reusable() const
 {
     return m_impl->reusable();
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -1,11 +1,13 @@
 #include "endivedock/gateway/target_pool.h"
 
+#include <algorithm>
+
 namespace endivedock {
 
 namespace {
 
-/** Targets commonly close what has been idle for longer. */
-constexpr Seconds longestIdle{30};
+/** A target closes by its own clock; this much earlier its connection is not used any more. */
+constexpr Milliseconds idleMargin{500};
 
 } // namespace
 
@@ -15,22 +17,25 @@
         m_pool->giveBack(m_target, std::move(m_connection));
 }
 
-std::unique_ptr<TargetConnection> TargetPool::takeIdle(Pool &pool)
+std::unique_ptr<TargetConnection> TargetPool::takeIdle(Pool &pool, Milliseconds oldestIdle)
 {
-    const TimePoint oldest = SteadyClock().now() - longestIdle;
+    const TimePoint now = SteadyClock().now();
     while (!pool.idle.empty()) {
         Idle idle = std::move(pool.idle.back());
         pool.idle.pop_back();
-        if (idle.since >= oldest && !idle.connection->stale())
+        const Milliseconds kept = idle.connection->keptIdle().value_or(oldestIdle + idleMargin);
+        const Milliseconds usable = std::min(oldestIdle, kept - idleMargin);
+        if (now - idle.since <= usable && !idle.connection->stale())
             return std::move(idle.connection);
         --pool.open;
     }
     return nullptr;
 }
 
-Task<PooledConnection> TargetPool::acquire(Address target, Connections limit, TimePoint deadline)
+Task<PooledConnection> TargetPool::acquire(Address target, Connections limit,
+                                           Milliseconds oldestIdle, TimePoint deadline)
 {
-    if (auto idle = takeIdle(m_pools[target]))
+    if (auto idle = takeIdle(m_pools[target], oldestIdle))
         co_return PooledConnection(*this, target, std::move(idle));
     if (m_pools[target].open >= limit.value())
         throw TargetConnectError(formatAddress(target) + ": this host's connections are in use");
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -49,7 +49,8 @@
                    m_fleet)
         , m_runs(m_executor, m_settings.id, m_fleet, m_metrics)
         , m_gateway(m_executor, m_settings.listen,
-                    {m_settings.id, m_configuration, m_metrics, m_random}, m_client, m_runs)
+                    {m_settings.id, m_metrics, m_random}, OwnFrontEnd(m_configuration), m_client,
+                    m_runs)
         , m_admin(m_executor, m_settings.admin,
                   [this](const HttpCall &call) { return adminPage(call); })
     {
@@ -326,14 +327,14 @@
         const TimePoint toldAt = SteadyClock().now();
         while (true) {
             const TimePoint now = SteadyClock().now();
-            const bool quiet = now - m_gateway.lastArrival() >= m_settings.drainDelay;
+            const bool quiet = now - m_gateway.activity().lastArrival >= m_settings.drainDelay;
             const bool longEnough = now - toldAt >= m_settings.drainDelay * mostDrainDelays;
             if (now - toldAt >= m_settings.drainDelay && (quiet || longEnough))
                 break;
             co_await sleepFor(drainCheck);
         }
         m_gateway.stopAccepting();
-        while (m_gateway.openConnections() > 0 || m_client.unconfirmedReports() > 0)
+        while (m_gateway.activity().openConnections > 0 || m_client.unconfirmedReports() > 0)
             co_await sleepFor(drainCheck);
         m_log.info("Stopped");
         m_context.stop();
@@ -358,7 +359,7 @@
     Fleet m_fleet;
     PlacementClient<Fleet> m_client;
     HostRuns m_runs;
-    GatewayServer<PlacementClient<Fleet>, HostRuns> m_gateway;
+    GatewayServer<OwnFrontEnd, PlacementClient<Fleet>, HostRuns> m_gateway;
     HttpServer m_admin;
     bool m_viewRead = false;
     bool m_leaving = false;
--- a/src/host/peer_message.cpp
+++ b/src/host/peer_message.cpp
@@ -2,12 +2,11 @@
 
 #include "endivedock/config/codec.h"
 #include "endivedock/membership/codec.h"
+#include "endivedock/peers/cereal_codec.h"
 #include "endivedock/placement/codec.h"
 #include "endivedock/runs/codec.h"
 #include "endivedock/shards/codec.h"
 
-#include <sstream>
-
 namespace endivedock {
 
 namespace {
@@ -17,12 +16,6 @@
 
 } // namespace
 
-template <typename Archive>
-void serialize(Archive &archive, PeerHeader &header)
-{
-    archive(header.sender, header.incarnation, header.sequence, header.receiver);
-}
-
 template <typename Archive>
 void serialize(Archive &archive, FleetCopy &copy)
 {
@@ -31,30 +24,12 @@
 
 std::string PeerCodec::encode(const PeerHeader &header, const PeerMessage &message)
 {
-    std::ostringstream out(std::ios::binary);
-    cereal::PortableBinaryOutputArchive archive(out);
-    archive(formatVersion, header, message);
-    return std::move(out).str();
+    return encodeMessage(formatVersion, header, message);
 }
 
 PeerMessage PeerCodec::decode(std::string_view text, PeerHeader &header)
 {
-    try {
-        std::istringstream in(std::string(text), std::ios::binary);
-        cereal::PortableBinaryInputArchive archive(in);
-        std::uint8_t version = 0;
-        archive(version);
-        if (version != formatVersion)
-            throw MessageError("a message has another format version");
-        PeerMessage message;
-        archive(header, message);
-        return message;
-    } catch (const MessageError &) {
-        throw;
-    } catch (const std::exception &error) {
-        // Whatever the encoding library throws on bad input is one error to the layers above.
-        throw MessageError(error.what());
-    }
+    return decodeMessage<PeerMessage>(formatVersion, text, header);
 }
 
 } // namespace endivedock
--- a/src/limits/retry_budget.cpp
+++ b/src/limits/retry_budget.cpp
@@ -41,8 +41,9 @@
         firsts += bucket.firsts;
         retries += bucket.retries;
     }
-    const auto allowed = static_cast<std::uint64_t>(static_cast<double>(firsts) * m_share.value());
-    const bool some = m_share.value() > 0 && retries < leastRetries;
+    const double shared = static_cast<double>(firsts) * m_share.value();
+    const auto allowed = static_cast<std::uint64_t>(shared + m_allowance.value_or(0));
+    const bool some = !m_allowance && m_share.value() > 0 && retries < leastRetries;
     if (retries >= allowed && !some)
         return false;
     ++current.retries;
--- a/src/moves/version_mover.cpp
+++ b/src/moves/version_mover.cpp
@@ -184,6 +184,15 @@
     return result;
 }
 
+Share shareOf(const MoveProgress &progress)
+{
+    if (progress.phase == MovePhase::TakenBack)
+        return Share(0);
+    if (progress.phase == MovePhase::Done)
+        return Share(1);
+    return Share(shares[static_cast<std::size_t>(std::clamp(progress.step, 0, lastStep))]);
+}
+
 struct VersionMover::Machine : msm::back::state_machine<MoveDefinition>
 {
     MovePhase phase() const { return static_cast<MovePhase>(current_state()[0]); }
@@ -210,11 +219,7 @@
 
 Share VersionMover::share() const
 {
-    if (m_machine->phase() == MovePhase::TakenBack)
-        return Share(0);
-    if (m_machine->phase() == MovePhase::Done)
-        return Share(1);
-    return Share(shares[static_cast<std::size_t>(m_machine->step)]);
+    return shareOf(progress());
 }
 
 MoveProgress VersionMover::progress() const
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -20,6 +20,8 @@
     request.method_string(method);
     request.target(path);
     request.set(http::field::host, formatAddress(server));
+    if (!body.empty())
+        request.set(http::field::content_type, "application/json");
     request.body() = std::move(body);
     request.prepare_payload();
     return request;
@@ -39,6 +41,7 @@
     {
         co_await m_stream.async_connect(tcpEndpoint(server), asio::use_awaitable);
         m_stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        detectSilence(m_stream.socket());
     }
 
     Task<HttpReply> exchange(http::request<http::string_body> &request)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -223,9 +223,9 @@
         Random random(1);
         OneTarget placements{target.localAddress(), {}};
         AnyRun runs;
-        GatewayServer<OneTarget, AnyRun> gateway(context.get_executor(), anyPort,
-                                                 {HostId(1), configuration, metrics, random},
-                                                 placements, runs);
+        GatewayServer<OwnFrontEnd, OneTarget, AnyRun> gateway(
+                context.get_executor(), anyPort, {HostId(1), metrics, random},
+                OwnFrontEnd(configuration), placements, runs);
         std::string answer;
         runTask(context, exchangeText(context.get_executor(), gateway.localAddress(),
                                       std::move(text), answer));
