--- a/include/endivedock/balancing/balancing_settings.h
+++ b/include/endivedock/balancing/balancing_settings.h
@@ -8,17 +8,23 @@
 struct BalancingSettings
 {
     ZoneId zone;
-    /** Retries as a part of the requests of this host. */
-    Share retryShare{0.15};
-    /** Retries in the budget's window that all hosts together may make besides. */
-    double retryAllowance = 40;
-    /** Used part of the rate that a cold target bears: hosts do not act in step. */
-    Share coldRate{0.75};
+    /** Retries as a part of first attempts; a new placing host begins with a new count. */
+    Share retryShare{0.1};
+    /** Retries in the budget's window that one placing host may grant besides. */
+    double retryAllowance = 24;
+    /** As above, for all hosts together that place without the placing host. */
+    double aloneAllowance = 16;
+    /** Part of the rate that a cold target bears which the placing host hands out. */
+    Share coldRate{0.6};
+    /** As above, for all hosts together that place without the placing host. */
+    Share aloneColdRate{0.35};
     /** A new request beyond this part of its remaining time would most likely be late. */
     Share latestFinish{0.8};
     /** A neighbour's burst on a target's machine lasts about this long. */
     Milliseconds burst{300};
-    /** Work on a target whose slots are all taken slows down by about this factor. */
+    /** Part of its slots up to which a target is given work; nearly full ones slow down. */
+    Share roomy{0.8};
+    /** Work on a target that is fuller slows down by about this factor. */
     double crowding = 1.6;
     /** What another zone costs, as time: two ways of about 1 ms. */
     Microseconds zonePenalty{2000};
@@ -30,6 +36,8 @@
     Milliseconds firstAbsence{250};
     Milliseconds longestAbsence{2000};
     Milliseconds probeInterval{250};
+    /** The placing host asks a target whose load report is older than this. */
+    Milliseconds reportAge{70};
     Milliseconds connectTimeout{200};
 };
 
--- a/include/endivedock/balancing/registered_target.h
+++ b/include/endivedock/balancing/registered_target.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/core.h"
+#include "endivedock/placement/messages.h"
 
 #include <optional>
 
@@ -31,6 +32,7 @@
     /** The target at the address; may be another one. */
     std::optional<TargetId> id;
     std::optional<Milliseconds> coldFor;
+    std::optional<ReportedLoad> load;
 };
 
 } // namespace endivedock
--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -55,6 +55,13 @@
     Milliseconds slowdownAge{0};
 };
 
+/** What became of a request that was waiting. */
+struct PlacementDecision
+{
+    PlacementRequest request;
+    std::variant<BalancedChoice, Refusal> outcome;
+};
+
 /** A target whose health is to be asked. */
 struct ProbeTarget
 {
@@ -73,17 +80,21 @@
 };
 
 /**
- * Places the requests that one host has for one service. Every host does so by itself; limits that
- * all hosts keep together are divided by their number, and the others' counts are added to its own.
- * Nothing waits here: a request goes to the target where it should end first, or is refused.
+ * Places the requests for one service. One host does so for all; what it has granted it counts at
+ * once, and what others placed without it is added from their news. When no target has room that is
+ * worth using, requests wait here, so that the choice stays open. Any other host can place its own
+ * requests by itself, from what it heard last, should the placing host not answer.
  *
  * Takes time as an argument, does no I/O, and is not thread-safe.
  */
 class ServiceBalancer
 {
 public:
+    using Outcome = std::variant<BalancedChoice, Refusal>;
+
     /** @param random  must outlive this object */
-    ServiceBalancer(ServiceId service, const BalancingSettings &settings, Random &random);
+    ServiceBalancer(ServiceId service, HostId self, const BalancingSettings &settings,
+                    Random &random);
 
     void setRules(const ServiceRules &rules);
     /** @param hosts  entry hosts that are alive, this one included */
@@ -94,15 +105,42 @@
     /** @param share  part of the requests for the new version of the running move */
     void setMoveShare(Share share) { m_moveShare = share; }
 
-    std::variant<BalancedChoice, Refusal> place(const PlacementRequest &request, TimePoint now);
-    void finish(const AttemptReport &report, TimePoint now);
+    /**
+     * Places as the placing host.
+     *
+     * @return nothing if the request waits; dispatch() tells later
+     */
+    std::optional<Outcome> place(const PlacementRequest &request, TimePoint now);
+    /** @return what became of requests that waited; to be called after finish() and in time */
+    std::vector<PlacementDecision> dispatch(TimePoint now);
+    /** The request no longer wants a placement, or the one it got. */
+    void cancel(const AttemptId &attempt);
+    std::size_t waiting() const { return m_waiting.size(); }
+
+    /** Places a request of this host without the placing host. */
+    Outcome placeAlone(const PlacementRequest &request, TimePoint now);
+    /**
+     * Takes over what the placing host granted.
+     *
+     * @return nothing if this host knows that the target must not be used
+     */
+    std::optional<BalancedChoice> adopt(const PlacementRequest &request, const Placement &placement,
+                                        HostId placedBy, TimePoint now);
+
+    /** @return a choice that has been made and not finished */
+    std::optional<BalancedChoice> find(GrantId grant) const;
+    /** @return the host that placed the attempt, or nothing if the grant is unknown */
+    std::optional<HostId> finish(const AttemptReport &report, TimePoint now);
 
-    std::vector<ProbeTarget> dueProbes(TimePoint now);
+    /** @param placing  whether this host places the service, and so needs to know the loads */
+    std::vector<ProbeTarget> dueProbes(bool placing, TimePoint now);
     /** @param probe  absent if the target did not answer */
     void probed(const TargetId &target, const std::optional<TargetProbe> &probe, TimePoint now);
 
-    /** @return what this host knows first hand and the others may not */
-    std::vector<TargetNews> news(TimePoint now) const;
+    /** @return what @p placing does not know of: slowdowns, and requests that it has not placed */
+    std::vector<TargetNews> news(HostId placing, TimePoint now) const;
+    /** @return requests that this host has granted, but for those to @p except */
+    std::vector<TargetNews> granted(HostId except) const;
     /** @param others  sums over all other hosts; targets that are left out have none */
     void applyPicture(std::span<const TargetNews> others, TimePoint now);
     /** @return the answers of a running move since the last call */
@@ -117,46 +155,84 @@
 private:
     struct Grant
     {
+        AttemptId attempt;
+        /** Who decided, and who sends. */
+        HostId placedBy;
+        HostId sentBy;
         TargetId target;
         std::int16_t route = -1;
         Fingerprint fingerprint;
         bool crowded = false;
         bool cold = false;
         double slowdown = 1;
+        TimePoint expires{};
     };
     struct Candidate
     {
         TargetState *target = nullptr;
         double finish = 0;
         int inFlight = 0;
+        /** Part of the slots in use. */
+        double fullness = 0;
+    };
+    /** What one look at all targets shows. */
+    struct Survey
+    {
+        std::vector<Candidate> candidates;
+        /** Requests that all usable targets finish together, each microsecond. */
+        double rate = 0;
+        /** Least work that a request takes on any of them, in microseconds. */
+        double leastWork = 0;
+        bool any = false;
+    };
+    enum class Manner {
+        /** Only targets with room, as the placing host. */
+        Central,
+        /** Also full ones, as a host on its own. */
+        Alone,
+        /** As Alone, also those that look bad. */
+        Desperate,
+    };
+    struct Waiting
+    {
+        PlacementRequest request;
+        TimePoint arrivedAt;
     };
-    /** Which targets a pass over all of them considers. */
-    struct PassRules
+    /** What is to be done with a request now. */
+    struct Verdict
     {
-        MoveSide side = MoveSide::Old;
-        /** Those that look bad are considered too, as long as a connection can be made. */
-        bool desperate = false;
+        std::optional<Candidate> chosen;
+        bool wait = false;
+        RefusalReason reason = RefusalReason::NoTarget;
     };
 
     bool usable(const TargetState &target, MoveSide side) const;
     bool looksWell(const TargetState &target, TimePoint now) const;
     bool mayEject(TimePoint now) const;
-    double expectedFinish(const TargetState &target, TimePoint now) const;
+    int roomOf(const TargetState &target) const;
+    double expectedWork(const TargetState &target, TimePoint now) const;
     double meanSlowdown(TimePoint now) const;
-    Duration coldInterval() const;
+    Duration coldInterval(Manner manner) const;
     Duration silencePatience() const;
-    std::optional<Candidate> best(const PlacementRequest &request, PassRules rules, TimePoint now);
-    std::optional<Candidate> bestOnSide(const PlacementRequest &request, MoveSide side,
-                                        TimePoint now);
-    std::optional<Refusal> refuseEarly(const PlacementRequest &request, TimePoint now);
+    Survey survey(const PlacementRequest &request, MoveSide side, Manner manner, TimePoint now);
+    std::optional<Candidate> pickFrom(std::vector<Candidate> &candidates);
+    Verdict decide(const PlacementRequest &request, std::size_t ahead, Duration waited,
+                   TimePoint now);
+    std::optional<Refusal> refuseEarly(const PlacementRequest &request, RetryBudget &budget,
+                                       TimePoint now);
     Refusal refuse(RefusalReason reason, Milliseconds retryAfter);
     Duration latestFinish(const PlacementRequest &request) const;
-    BalancedChoice grant(const PlacementRequest &request, const Candidate &chosen, TimePoint now);
+    BalancedChoice grant(const PlacementRequest &request, const Candidate &chosen, Manner manner,
+                         TimePoint now);
+    BalancedChoice track(const PlacementRequest &request, GrantId id, HostId placedBy,
+                         const Candidate &chosen, TimePoint now);
     void takeOutcome(TargetState &target, const Grant &grant, const AttemptReport &report,
                      TimePoint now);
+    void expireGrants(TimePoint now);
     void refreshBaseline(TimePoint now);
 
     ServiceId m_service;
+    HostId m_self;
     BalancingSettings m_settings;
     Random &m_random;
     ServiceRules m_rules;
@@ -166,7 +242,12 @@
     Share m_moveShare{0};
     std::map<TargetId, TargetState> m_targets;
     std::map<GrantId, Grant> m_grants;
+    /** Grants of this host to others, so that a repeated question gets the same answer. */
+    std::map<AttemptId, GrantId> m_granted;
+    WaitingQueue<Waiting> m_waiting;
+    std::map<AttemptId, WaitingQueue<Waiting>::Ticket> m_tickets;
     RetryBudget m_retryBudget;
+    RetryBudget m_aloneBudget;
     CrashSuspects m_suspects;
     std::vector<MoveAnswer> m_moveAnswers;
     /** Smoothed time of undisturbed work, in microseconds; 0 before the first answer. */
@@ -175,6 +256,8 @@
     /** Mean of what the targets reported lately. */
     double m_usualSlowdown = 1;
     TimePoint m_baselineAt{};
+    /** When a request was placed last; nobody needs the loads of an idle service. */
+    TimePoint m_placedAt{};
     BalancerCounters m_counters;
 };
 
--- a/include/endivedock/balancing/target_state.h
+++ b/include/endivedock/balancing/target_state.h
@@ -5,11 +5,27 @@
 #include "endivedock/placement/messages.h"
 #include "endivedock/routing.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 
 namespace endivedock {
 
+/**
+ * When a target is left out for its failures. Slow ones are not left out: how long their work takes
+ * is known, and counts in each choice.
+ */
+inline HealthSettings balancedHealth()
+{
+    HealthSettings settings;
+    settings.smoothing = 0.15;
+    settings.slowFactor = std::numeric_limits<double>::infinity();
+    settings.failingAbove = Share(0.35);
+    settings.firstEjection = Milliseconds(700);
+    settings.longestEjection = Milliseconds(5000);
+    return settings;
+}
+
 /** A slowdown that a target reported, and when. */
 struct SlowdownReport
 {
@@ -30,7 +46,7 @@
     /** Takes a newer entry of the same target. */
     void update(const RegisteredTarget &registered, TimePoint now);
 
-    // Requests of this host.
+    // Requests that this host sends, or has placed for others.
     void sent(GrantId grant, TimePoint now);
     /** @return when the request was sent; nothing if the grant is unknown */
     std::optional<TimePoint> ended(GrantId grant);
@@ -81,7 +97,7 @@
     TimePoint m_nextProbe{};
     int m_failures = 0;
     bool m_unverified = false;
-    TargetHealth m_health;
+    TargetHealth m_health{balancedHealth()};
 };
 
 } // namespace endivedock
--- a/include/endivedock/core/codec.h
+++ b/include/endivedock/core/codec.h
@@ -66,7 +66,7 @@
 template <typename Archive>
 void serialize(Archive &archive, Refusal &refusal)
 {
-    archive(refusal.reason, refusal.certainty);
+    archive(refusal.reason, refusal.certainty, refusal.retryAfter);
 }
 
 } // namespace endivedock
--- a/include/endivedock/edge.h
+++ b/include/endivedock/edge.h
@@ -7,6 +7,6 @@
 
 #include "endivedock/edge/edge_host.h"
 #include "endivedock/edge/edge_settings.h"
-#include "endivedock/edge/local_placement.h"
 #include "endivedock/edge/platform_concept.h"
 #include "endivedock/edge/registry.h"
+#include "endivedock/edge/shared_placement.h"
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/edge/edge_host.h"
+#include "endivedock/edge/shared_placement-inl.h"
 #include "endivedock/gateway/gateway_server-inl.h"
 
 #include <algorithm>
@@ -10,7 +11,11 @@
 namespace edge_detail {
 
 /** Hosts tell each other what they have in flight this often; see docs/DESIGN.md. */
-constexpr Milliseconds newsInterval{50};
+constexpr Milliseconds newsInterval{100};
+/** Probes are started this often. */
+constexpr Milliseconds tickInterval{25};
+/** Requests that wait are looked at again this often, besides when a target gets room. */
+constexpr Milliseconds waitingInterval{10};
 /** A waiting watch is one call; long waits keep their number low. */
 constexpr Milliseconds watchTime{10'000};
 /** Changes that come within this time are fetched together. */
@@ -22,7 +27,6 @@
 /** Renewals also show whether the store answers. */
 constexpr Milliseconds renewalInterval{2500};
 constexpr Milliseconds peerCheck{300};
-constexpr Milliseconds probeTimeout{400};
 /** The relay writes a verdict at once; if none is seen after this time the others do. */
 constexpr Milliseconds verdictPatience{700};
 constexpr Milliseconds verdictRetry{1500};
@@ -38,15 +42,15 @@
     , m_self(hostIdOf(m_settings.name))
     , m_registry(&P::read)
     , m_turns(drawUnit(m_random))
-    , m_placement(m_settings.balancing, m_random)
     , m_watchStore(m_executor, m_settings.store)
     , m_callStore(m_executor, m_settings.store)
     , m_sealer({m_settings.peerKey})
-    , m_datagrams(m_executor, m_settings.peer, m_self,
-                  Incarnation(static_cast<std::uint64_t>(wallMilliseconds())), m_sealer,
-                  [this](const PeerHeader &header, EdgeMessage message, const Address &from) {
-                      take(header, std::move(message), from);
-                  })
+    , m_peers(m_executor, m_settings.peer, m_self,
+              Incarnation(static_cast<std::uint64_t>(wallMilliseconds())), m_sealer,
+              [this](const PeerHeader &header, EdgeMessage message, const Address &) {
+                  take(header, message);
+              })
+    , m_placement(m_executor, m_self, m_settings.balancing, m_random, m_metrics, m_peers)
     , m_streams(m_executor, m_settings.peer, m_self,
                 Incarnation(static_cast<std::uint64_t>(wallMilliseconds())), m_sealer,
                 [this](const PeerHeader &, const EdgeMessage &question) {
@@ -56,7 +60,11 @@
                         answer = m_registry.copy();
                     return answer;
                 })
-    , m_relays(m_self)
+    , m_prober(m_executor, &P::readProbe,
+               [this](const ServiceId &service, const TargetId &target,
+                      const std::optional<TargetProbe> &probe, const std::string &failure) {
+                   takeProbe(service, target, probe, failure);
+               })
     , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random},
                 P::makeFront({m_registry, m_turns}), m_placement, m_noKeys)
     , m_readiness(m_executor, m_settings.readiness,
@@ -189,51 +197,41 @@
 void EdgeHost<P>::registryChanged()
 {
     const TimePoint now = SteadyClock().now();
-    followHosts();
-    m_placement.follow(m_registry, m_peers.size() + 1, now);
+    m_peers.setHosts(m_registry.hosts(), m_self);
+    m_placement.follow(m_registry, m_peers.hosts(), now);
     followOrders(now);
 }
 
-template <EdgePlatform P>
-void EdgeHost<P>::followHosts()
-{
-    m_peers.clear();
-    std::vector<HostId> ids;
-    for (const auto &host : m_registry.hosts()) {
-        if (host.id == m_self)
-            continue;
-        m_peers[host.id] = host.peer;
-        ids.push_back(host.id);
-    }
-    m_relays.setHosts(ids);
-}
-
 // --- Other hosts ---
 
 template <EdgePlatform P>
 Task<> EdgeHost<P>::tradeNews()
 {
-    TimePoint due = SteadyClock().now();
+    TimePoint nextNews = SteadyClock().now();
     while (true) {
-        due += edge_detail::newsInterval;
-        const TimePoint now = SteadyClock().now();
-        if (due < now)
-            due = now + edge_detail::newsInterval; // Late ones are not caught up on.
-        co_await sleepFor(due - now);
+        const Milliseconds interval = m_placement.anyWaiting() ? edge_detail::waitingInterval
+                                                               : edge_detail::tickInterval;
+        const TimePoint due = SteadyClock().now() + interval;
+        co_await sleepFor(interval);
         const TimePoint woken = SteadyClock().now();
         m_metrics.observe("endivedock_loop_delay_seconds", {},
                           std::chrono::duration_cast<Microseconds>(woken - due));
+        m_placement.tick(woken);
+        startProbes(woken);
+        if (woken < nextNews)
+            continue;
+        nextNews = woken + edge_detail::newsInterval;
         if (m_registry.expireLapsed(woken))
             registryChanged();
         m_relay.tick(woken);
         sendNews(woken);
         settleMoves(woken);
-        startProbes(woken);
     }
 }
 
 template <EdgePlatform P>
-HostNews EdgeHost<P>::newsFor(const std::vector<ServiceId> &services, TimePoint now)
+HostNews EdgeHost<P>::newsFor(const std::vector<ServiceId> &services, HostId placing,
+                              TimePoint now)
 {
     HostNews news;
     news.registry = m_registry.revision();
@@ -241,7 +239,7 @@
         ServiceBalancer *balancer = m_placement.find(service);
         ServiceNews entry;
         entry.service = service;
-        entry.targets = balancer->news(now);
+        entry.targets = balancer->news(placing, now);
         entry.answers = balancer->takeMoveAnswers();
         const auto move = m_moves.find(service);
         if (move != m_moves.end())
@@ -256,15 +254,15 @@
 {
     std::map<HostId, std::vector<ServiceId>> byRelay;
     for (const auto &[service, balancer] : m_placement.balancers())
-        byRelay[m_relays.relayFor(service, now)].push_back(service);
+        byRelay[m_peers.placingHost(service, now)].push_back(service);
     for (const auto &[host, services] : byRelay) {
-        const HostNews news = newsFor(services, now);
+        const HostNews news = newsFor(services, host, now);
         if (host == m_self) {
             takePicture(m_self, relay(m_self, news, now), now);
             continue;
         }
-        m_relays.asked(host, now);
-        m_datagrams.send(host, m_peers.at(host), news);
+        m_peers.asked(host, now);
+        m_peers.send(host, news);
     }
 }
 
@@ -274,12 +272,18 @@
     HostPicture picture;
     picture.registry = m_registry.revision();
     for (const auto &service : news.services)
-        picture.services.push_back(m_relay.exchange(from, service, now));
+    {
+        std::vector<TargetNews> granted;
+        ServiceBalancer *balancer = m_placement.find(service.service);
+        if (balancer != nullptr && from != m_self)
+            granted = balancer->granted(from);
+        picture.services.push_back(m_relay.exchange(from, service, granted, now));
+    }
     return picture;
 }
 
 template <EdgePlatform P>
-void EdgeHost<P>::take(const PeerHeader &header, EdgeMessage message, const Address &from)
+void EdgeHost<P>::take(const PeerHeader &header, const EdgeMessage &message)
 {
     const TimePoint now = SteadyClock().now();
     if (const auto *news = std::get_if<HostNews>(&message)) {
@@ -287,10 +291,19 @@
             m_newest = news->registry;
             m_newestAt = header.sender;
         }
-        m_datagrams.send(header.sender, from, relay(header.sender, *news, now));
+        m_peers.send(header.sender, relay(header.sender, *news, now));
     } else if (const auto *picture = std::get_if<HostPicture>(&message)) {
-        m_relays.heard(header.sender, now);
+        m_peers.heard(header.sender, now);
         takePicture(header.sender, *picture, now);
+    } else if (const auto *request = std::get_if<PlacementRequest>(&message)) {
+        m_placement.take(header.sender, *request, now);
+    } else if (const auto *answer = std::get_if<PlacementAnswer>(&message)) {
+        m_peers.heard(header.sender, now);
+        m_placement.take(header.sender, *answer, now);
+    } else if (const auto *report = std::get_if<AttemptReport>(&message)) {
+        m_placement.take(header.sender, *report, now);
+    } else if (const auto *cancel = std::get_if<PlacementCancel>(&message)) {
+        m_placement.take(header.sender, *cancel, now);
     }
 }
 
@@ -321,8 +334,9 @@
             continue;
         HostId asked = m_newestAt;
         Address address;
-        if (m_newest > m_registry.revision() && m_peers.contains(asked)) {
-            address = m_peers.at(asked);
+        const auto known = m_peers.address(asked);
+        if (m_newest > m_registry.revision() && known) {
+            address = *known;
         } else if (unknown) {
             asked = anyHost;
             address = m_settings.seeds[drawBelow(m_random, m_settings.seeds.size())];
@@ -409,7 +423,7 @@
     for (auto &[service, move] : m_moves) {
         if (move.endedAt == TimePoint{} || move.writing || now < move.writeAt)
             continue;
-        const bool mine = m_relays.relayFor(service, now) == m_self;
+        const bool mine = m_peers.placingHost(service, now) == m_self;
         if (!mine && now - move.endedAt < edge_detail::verdictPatience)
             continue;
         move.writing = true;
@@ -427,7 +441,7 @@
     if (found == m_moves.end())
         co_return;
     const MoveOrder order = found->second.order;
-    const bool mine = m_relays.relayFor(service, SteadyClock().now()) == m_self;
+    const bool mine = m_peers.placingHost(service, SteadyClock().now()) == m_self;
     if (state == MoveState::Running && !mine)
         co_return;
     const StoreEntry entry = P::writeVerdict(service, order.to, state);
@@ -454,39 +468,21 @@
 void EdgeHost<P>::startProbes(TimePoint now)
 {
     for (const auto &[service, balancer] : m_placement.balancers()) {
-        for (auto &target : balancer->dueProbes(now))
-            startTask(m_executor, "probe", probe(service, std::move(target)));
+        const bool placing = m_peers.placingHost(service, now) == m_self;
+        for (const auto &target : balancer->dueProbes(placing, now))
+            m_prober.ask(service, target, m_placement.healthPath(service));
     }
 }
 
 template <EdgePlatform P>
-Task<> EdgeHost<P>::probe(ServiceId service, ProbeTarget target)
+void EdgeHost<P>::takeProbe(const ServiceId &service, const TargetId &target,
+                            const std::optional<TargetProbe> &probe, const std::string &failure)
 {
-    std::optional<TargetProbe> result;
-    std::string failure;
-    try {
-        TargetConnection connection(m_executor);
-        const TimePoint deadline = SteadyClock().now() + edge_detail::probeTimeout;
-        co_await connection.connect(target.address, deadline);
-        connection.setDeadline(deadline);
-        RequestHead head;
-        head.method = "GET";
-        head.path = m_placement.healthPath(service);
-        head.fields = {{"Host", formatAddress(target.address)}};
-        co_await connection.sendHead(head);
-        co_await connection.endRequest();
-        const AnswerHead answer = co_await connection.readHead();
-        result = P::readProbe(answer);
-    } catch (const Error &error) {
-        failure = error.what();
-    }
-    m_log.info("Target probed",
-               {field("service", service), field("target", target.id),
-                field("healthy", result && result->healthy),
-                field("cold_ms", result ? result->coldFor.value_or(Milliseconds(0)).count() : -1),
-                field("error", failure.empty() ? "-" : failure)});
+    if (!probe)
+        m_log.info("Probe failed", {field("service", service), field("target", target),
+                                    field("error", failure)});
     if (ServiceBalancer *balancer = m_placement.find(service))
-        balancer->probed(target.id, result, SteadyClock().now());
+        balancer->probed(target, probe, SteadyClock().now());
 }
 
 // --- Shutdown and pages ---
@@ -555,11 +551,11 @@
         m_metrics.setGauge("endivedock_probes", labels, static_cast<double>(counters.probes));
     }
     m_metrics.setGauge("endivedock_datagrams_sent", {},
-                       static_cast<double>(m_datagrams.counters().sent));
+                       static_cast<double>(m_peers.counters().sent));
     m_metrics.setGauge("endivedock_datagrams_refused", {},
-                       static_cast<double>(m_datagrams.counters().unauthentic +
-                                           m_datagrams.counters().replayed +
-                                           m_datagrams.counters().malformed));
+                       static_cast<double>(m_peers.counters().unauthentic +
+                                           m_peers.counters().replayed +
+                                           m_peers.counters().malformed));
     result.body = m_metrics.text();
     co_return result;
 }
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "endivedock/edge/edge_message.h"
+#include "endivedock/edge/edge_peers.h"
 #include "endivedock/edge/edge_settings.h"
-#include "endivedock/edge/local_placement.h"
 #include "endivedock/edge/platform_concept.h"
+#include "endivedock/edge/shared_placement.h"
+#include "endivedock/edge/target_prober.h"
 #include "endivedock/loadnews.h"
 
 #include <map>
@@ -39,7 +41,7 @@
     bool ready() const;
 
 private:
-    using Gateway = GatewayServer<typename P::Front, LocalPlacement, NoRunKeys>;
+    using Gateway = GatewayServer<typename P::Front, SharedPlacement<EdgePeers>, NoRunKeys>;
 
     /** A running move as this host knows it. */
     struct Move
@@ -58,7 +60,6 @@
     Task<> keepRegistered();
     Task<> tradeNews();
     Task<> followPeers();
-    Task<> probe(ServiceId service, ProbeTarget target);
     Task<> writeVerdict(ServiceId service, MoveState state);
     Task<> shutDown();
     Task<HttpResult> answerReadiness(HttpCall call);
@@ -68,16 +69,17 @@
     void storeAnswered();
     void storeFailed(const std::string &error);
     void registryChanged();
-    void followHosts();
     void followOrders(TimePoint now);
     void sendNews(TimePoint now);
-    HostNews newsFor(const std::vector<ServiceId> &services, TimePoint now);
+    HostNews newsFor(const std::vector<ServiceId> &services, HostId placing, TimePoint now);
     HostPicture relay(HostId from, const HostNews &news, TimePoint now);
-    void take(const PeerHeader &header, EdgeMessage message, const Address &from);
+    void take(const PeerHeader &header, const EdgeMessage &message);
     void takePicture(HostId from, const HostPicture &picture, TimePoint now);
     void takeProgress(const ServiceId &service, const MoveProgress &progress);
     void settleMoves(TimePoint now);
     void startProbes(TimePoint now);
+    void takeProbe(const ServiceId &service, const TargetId &target,
+                   const std::optional<TargetProbe> &probe, const std::string &failure);
 
     asio::io_context &m_context;
     asio::any_io_executor m_executor;
@@ -87,16 +89,15 @@
     Metrics m_metrics;
     Registry m_registry;
     WeightedTurns m_turns;
-    LocalPlacement m_placement;
     NoRunKeys m_noKeys;
     typename P::Store m_watchStore;
     typename P::Store m_callStore;
     Sealer m_sealer;
-    DatagramTransport<EdgeCodec> m_datagrams;
+    EdgePeers m_peers;
+    SharedPlacement<EdgePeers> m_placement;
     StreamTransport<EdgeCodec> m_streams;
-    RelayChoice m_relays;
     NewsRelay m_relay;
-    std::map<HostId, Address> m_peers;
+    TargetProber m_prober;
     std::map<ServiceId, Move> m_moves;
     Gateway m_gateway;
     HttpServer m_readiness;
--- a/include/endivedock/edge/edge_message.h
+++ b/include/endivedock/edge/edge_message.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/loadnews/messages.h"
 #include "endivedock/peers.h"
+#include "endivedock/placement/messages.h"
 
 #include <string>
 #include <variant>
@@ -9,7 +10,9 @@
 namespace endivedock {
 
 /** Every message between edge hosts. New ones go to the end. */
-using EdgeMessage = std::variant<HostNews, HostPicture, RegistryRequest, RegistryCopy>;
+using EdgeMessage =
+        std::variant<HostNews, HostPicture, RegistryRequest, RegistryCopy, PlacementRequest,
+                     PlacementAnswer, AttemptReport, PlacementCancel>;
 
 /** The encoding of messages between edge hosts: cereal's portable binary form. */
 struct EdgeCodec
--- /dev/null
+++ b/include/endivedock/edge/edge_peers.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "endivedock/edge/edge_message.h"
+#include "endivedock/edge/registry.h"
+#include "endivedock/loadnews.h"
+#include "endivedock/peers.h"
+#include "endivedock/telemetry.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace endivedock {
+
+/** The other entry hosts: their addresses, the way to them, and which of them places what. */
+class EdgePeers
+{
+public:
+    using Handler = DatagramTransport<EdgeCodec>::Handler;
+
+    /** @throws boost::system::system_error if @p local cannot be bound */
+    EdgePeers(asio::any_io_executor executor, const Address &local, HostId self,
+              Incarnation incarnation, Sealer &sealer, Handler handler)
+        : m_datagrams(std::move(executor), local, self, incarnation, sealer, std::move(handler))
+        , m_choice(self)
+    {
+    }
+
+    void setHosts(const std::vector<RegisteredHost> &hosts, HostId self);
+    /** @return the number of entry hosts, this one included */
+    std::size_t hosts() const { return m_addresses.size() + 1; }
+    std::optional<Address> address(HostId host) const;
+
+    // As PlacementPeers requires.
+    HostId placingHost(const ServiceId &service, TimePoint now) const;
+    void unanswered(HostId host, TimePoint now);
+    void send(HostId host, const EdgeMessage &message);
+
+    void asked(HostId host, TimePoint now) { m_choice.asked(host, now); }
+    void heard(HostId host, TimePoint now) { m_choice.heard(host, now); }
+    const TransportCounters &counters() const { return m_datagrams.counters(); }
+
+private:
+    DatagramTransport<EdgeCodec> m_datagrams;
+    RelayChoice m_choice;
+    std::map<HostId, Address> m_addresses;
+    Log m_log{"peers"};
+};
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -0,0 +1,339 @@
+#pragma once
+
+#include "endivedock/edge/shared_placement.h"
+
+#include <algorithm>
+
+namespace endivedock {
+
+namespace placement_detail {
+
+/**
+ * A placing host answers within two ways between zones and its own delays. Longer than that costs
+ * callers more than a choice of this host by itself.
+ */
+constexpr Milliseconds answerPatience{25};
+/** A request that is known to wait at the placing host is asked for again after this time. */
+constexpr Milliseconds waitPatience{120};
+
+/** @return the answer for the asking host */
+inline PlacementAnswer answerOf(const PlacementRequest &request,
+                                const ServiceBalancer::Outcome &outcome)
+{
+    PlacementAnswer answer;
+    answer.attempt = request.attempt;
+    answer.service = request.service;
+    answer.sending = request.sending;
+    if (const auto *refusal = std::get_if<Refusal>(&outcome)) {
+        answer.outcome = *refusal;
+        return answer;
+    }
+    const auto &choice = std::get<BalancedChoice>(outcome);
+    answer.outcome = Placement{choice.grant, choice.target.id, !choice.cold};
+    return answer;
+}
+
+} // namespace placement_detail
+
+/** Keeps a pending request known while its task waits. */
+template <PlacementPeers Link>
+class SharedPlacement<Link>::PendingScope
+{
+public:
+    PendingScope(std::map<AttemptId, Pending *> &all, const AttemptId &attempt, Pending &pending)
+        : m_all(all)
+        , m_attempt(attempt)
+    {
+        m_all[attempt] = &pending;
+    }
+    ~PendingScope() { m_all.erase(m_attempt); }
+    PendingScope(const PendingScope &) = delete;
+
+private:
+    std::map<AttemptId, Pending *> &m_all;
+    AttemptId m_attempt;
+};
+
+template <PlacementPeers Link>
+Task<std::variant<PlacedTarget, Refusal>> SharedPlacement<Link>::place(PlacementRequest request,
+                                                                       TimePoint deadline)
+{
+    ServiceBalancer *balancer = find(request.service);
+    if (balancer == nullptr)
+        co_return Refusal{RefusalReason::NoTarget, RunCertainty::NotRun};
+    const TimePoint now = SteadyClock().now();
+    const HostId placing = m_link.placingHost(request.service, now);
+    Pending pending(m_executor);
+    pending.asked = placing;
+    pending.service = request.service;
+    const PendingScope scope(m_pending, request.attempt, pending);
+    std::optional<PlacementAnswer> answer;
+    if (placing == m_self) {
+        if (auto outcome = balancer->place(request, now)) {
+            if (const auto *choice = std::get_if<BalancedChoice>(&*outcome))
+                co_return placed(request, *choice, m_self);
+            co_return std::get<Refusal>(*outcome);
+        }
+        answer = co_await pending.answer.wait(deadline);
+        if (!answer)
+            balancer->cancel(request.attempt);
+    } else {
+        answer = co_await ask(request, pending, deadline);
+    }
+    if (pending.abandoned)
+        co_return Refusal{RefusalReason::DeadlineExceeded, RunCertainty::NotRun};
+    request.remaining = toMilliseconds(deadline - SteadyClock().now());
+    if (answer)
+        co_return settle(request, placing, *answer);
+    if (request.remaining <= Milliseconds(0))
+        co_return Refusal{RefusalReason::DeadlineExceeded, RunCertainty::NotRun};
+    co_return alone(request);
+}
+
+template <PlacementPeers Link>
+Task<std::optional<PlacementAnswer>>
+SharedPlacement<Link>::ask(PlacementRequest request, Pending &pending, TimePoint deadline)
+{
+    const TimePoint startedAt = SteadyClock().now();
+    const Milliseconds patience = placement_detail::answerPatience;
+    const Milliseconds remaining = request.remaining;
+    while (SteadyClock().now() < deadline) {
+        const TimePoint now = SteadyClock().now();
+        request.remaining = remaining - toMilliseconds(now - startedAt);
+        m_link.send(pending.asked, request);
+        pending.waits = false;
+        auto answer = co_await pending.answer.wait(std::min(deadline, now + patience));
+        if (!answer && pending.waits) {
+            // A decision that gets lost on the way shows by the next question.
+            const TimePoint until = now + placement_detail::waitPatience;
+            answer = co_await pending.answer.wait(std::min(deadline, until));
+        }
+        if (pending.abandoned)
+            break;
+        if (answer)
+            co_return answer;
+        if (!pending.waits) {
+            m_metrics.count("endivedock_placements_unanswered_total");
+            m_link.unanswered(pending.asked, SteadyClock().now());
+            break;
+        }
+        ++request.sending;
+    }
+    m_link.send(pending.asked, PlacementCancel{request.attempt, request.service});
+    co_return std::nullopt;
+}
+
+template <PlacementPeers Link>
+std::variant<PlacedTarget, Refusal> SharedPlacement<Link>::alone(const PlacementRequest &request)
+{
+    m_metrics.count("endivedock_placements_alone_total");
+    ServiceBalancer *balancer = find(request.service);
+    auto outcome = balancer->placeAlone(request, SteadyClock().now());
+    if (const auto *refusal = std::get_if<Refusal>(&outcome))
+        return *refusal;
+    return placed(request, std::get<BalancedChoice>(outcome), m_self);
+}
+
+template <PlacementPeers Link>
+std::variant<PlacedTarget, Refusal>
+SharedPlacement<Link>::settle(const PlacementRequest &request, HostId placedBy,
+                              const PlacementAnswer &answer)
+{
+    if (const auto *refusal = std::get_if<Refusal>(&answer.outcome))
+        return *refusal;
+    const auto *placement = std::get_if<Placement>(&answer.outcome);
+    if (placement == nullptr)
+        return alone(request);
+    ServiceBalancer *balancer = find(request.service);
+    if (placedBy == m_self) {
+        // Counted when it was decided.
+        const auto choice = balancer->find(placement->grant);
+        if (choice)
+            return placed(request, *choice, m_self);
+        return alone(request);
+    }
+    const auto choice = balancer->adopt(request, *placement, placedBy, SteadyClock().now());
+    if (choice)
+        return placed(request, *choice, placedBy);
+    // This host knows better: the target is leaving, or not known here yet.
+    m_link.send(placedBy, PlacementCancel{request.attempt, request.service});
+    return alone(request);
+}
+
+template <PlacementPeers Link>
+PlacedTarget SharedPlacement<Link>::placed(const PlacementRequest &request,
+                                           const BalancedChoice &choice, HostId placedBy)
+{
+    m_log.info("Target chosen",
+               {field("id", request.attempt.request), field("service", request.service),
+                field("target", choice.target.id), field("attempt", int(request.attempt.number)),
+                field("by", placedBy), field("in_flight", choice.inFlight.value()),
+                field("slots", choice.target.slots.value()),
+                field("expected_ms", choice.expected.count()),
+                field("load_age_ms", choice.slowdownAge.count()), field("cold", choice.cold),
+                field("left_ms", request.remaining.count())});
+    PlacedTarget target;
+    target.placement = {choice.grant, choice.target.id, !choice.cold};
+    target.address = choice.target.address;
+    target.connectionLimit = choice.connections;
+    target.connectTimeout = m_settings.connectTimeout;
+    return target;
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::abandon(const AttemptId &attempt)
+{
+    const auto found = m_pending.find(attempt);
+    if (found == m_pending.end())
+        return;
+    Pending &pending = *found->second;
+    pending.abandoned = true;
+    if (pending.asked == m_self) {
+        if (ServiceBalancer *balancer = find(pending.service))
+            balancer->cancel(attempt);
+    }
+    PlacementAnswer none;
+    none.attempt = attempt;
+    none.outcome = NotPlacing{};
+    pending.answer.deliver(std::move(none));
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::report(AttemptReport report)
+{
+    ServiceBalancer *balancer = find(report.service);
+    if (balancer == nullptr)
+        return;
+    const TimePoint now = SteadyClock().now();
+    const auto placedBy = balancer->finish(report, now);
+    if (placedBy && *placedBy != m_self)
+        m_link.send(*placedBy, report);
+    dispatch(*balancer, now);
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::take(HostId from, const PlacementRequest &request, TimePoint now)
+{
+    ServiceBalancer *balancer = find(request.service);
+    if (balancer == nullptr) {
+        PlacementAnswer answer{request.attempt, request.service, request.sending, NotPlacing{}};
+        m_link.send(from, answer);
+        return;
+    }
+    const auto outcome = balancer->place(request, now);
+    PlacementAnswer answer{request.attempt, request.service, request.sending, PlacementWaits{}};
+    if (outcome)
+        answer = placement_detail::answerOf(request, *outcome);
+    m_link.send(from, answer);
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::take(HostId from, const PlacementAnswer &answer, TimePoint)
+{
+    const auto found = m_pending.find(answer.attempt);
+    if (found != m_pending.end() && found->second->asked == from) {
+        if (std::holds_alternative<PlacementWaits>(answer.outcome))
+            found->second->waits = true;
+        else
+            found->second->answer.deliver(answer);
+        return;
+    }
+    // Too late: the request has been placed otherwise, or has ended.
+    if (std::holds_alternative<Placement>(answer.outcome))
+        m_link.send(from, PlacementCancel{answer.attempt, answer.service});
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::take(HostId, const AttemptReport &report, TimePoint now)
+{
+    if (ServiceBalancer *balancer = find(report.service)) {
+        balancer->finish(report, now);
+        dispatch(*balancer, now);
+    }
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::take(HostId, const PlacementCancel &cancel, TimePoint now)
+{
+    if (ServiceBalancer *balancer = find(cancel.service)) {
+        balancer->cancel(cancel.attempt);
+        dispatch(*balancer, now);
+    }
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::dispatch(ServiceBalancer &balancer, TimePoint now)
+{
+    for (const auto &decision : balancer.dispatch(now))
+        deliver(decision);
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::deliver(const PlacementDecision &decision)
+{
+    const PlacementAnswer answer = placement_detail::answerOf(decision.request, decision.outcome);
+    const HostId asking = decision.request.attempt.host;
+    if (asking != m_self) {
+        m_link.send(asking, answer);
+        return;
+    }
+    const auto found = m_pending.find(answer.attempt);
+    if (found != m_pending.end())
+        found->second->answer.deliver(answer);
+    else if (ServiceBalancer *balancer = find(answer.service))
+        balancer->cancel(answer.attempt);
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::tick(TimePoint now)
+{
+    for (auto &[service, balancer] : m_balancers)
+        dispatch(*balancer, now);
+}
+
+template <PlacementPeers Link>
+bool SharedPlacement<Link>::anyWaiting() const
+{
+    return std::any_of(m_balancers.begin(), m_balancers.end(),
+                       [](const auto &item) { return item.second->waiting() > 0; });
+}
+
+template <PlacementPeers Link>
+void SharedPlacement<Link>::follow(const Registry &registry, std::size_t hosts, TimePoint now)
+{
+    const auto table = registry.table();
+    if (!table)
+        return;
+    const std::set<ZoneId> zonesOut = registry.zonesOut();
+    for (const auto &service : registry.services()) {
+        auto &balancer = m_balancers[service];
+        if (!balancer)
+            balancer = std::make_unique<ServiceBalancer>(service, m_self, m_settings, m_random);
+        const auto rules = table->services().find(service);
+        if (rules != table->services().end()) {
+            balancer->setRules(rules->second);
+            m_healthPaths[service] = rules->second.healthPath;
+        }
+        balancer->setHosts(hosts);
+        balancer->versions().setOrder(registry.order(service), now);
+        balancer->versions().setVerdict(registry.verdict(service));
+        balancer->setTargets(registry.targetsOf(service), now);
+        balancer->setZonesOut(zonesOut, now);
+    }
+}
+
+template <PlacementPeers Link>
+ServiceBalancer *SharedPlacement<Link>::find(const ServiceId &service)
+{
+    const auto found = m_balancers.find(service);
+    return found == m_balancers.end() ? nullptr : found->second.get();
+}
+
+template <PlacementPeers Link>
+std::string SharedPlacement<Link>::healthPath(const ServiceId &service) const
+{
+    const auto found = m_healthPaths.find(service);
+    return found == m_healthPaths.end() ? std::string("/") : found->second;
+}
+
+} // namespace endivedock
--- /dev/null
+++ b/include/endivedock/edge/shared_placement.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "endivedock/balancing.h"
+#include "endivedock/edge/registry.h"
+#include "endivedock/gateway.h"
+
+#include <concepts>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace endivedock {
+
+/** The way to the host that places the requests of a service at present. */
+template <typename L>
+concept PlacementPeers = requires(L link, const ServiceId &service, HostId host, TimePoint now,
+                                  PlacementRequest request, PlacementAnswer answer,
+                                  AttemptReport report, PlacementCancel cancel) {
+    /** The placing host as this host sees it; may be itself. */
+    {
+        link.placingHost(service, now)
+    } -> std::same_as<HostId>;
+    /** The host did not answer in time. */
+    {
+        link.unanswered(host, now)
+    } -> std::same_as<void>;
+    {
+        link.send(host, request)
+    } -> std::same_as<void>;
+    {
+        link.send(host, answer)
+    } -> std::same_as<void>;
+    {
+        link.send(host, report)
+    } -> std::same_as<void>;
+    {
+        link.send(host, cancel)
+    } -> std::same_as<void>;
+};
+
+/**
+ * Source of placements of one host: asks the placing host of the service, which may be this one, and
+ * places by itself where no answer comes in time. Also answers other hosts for the services that
+ * this host places.
+ *
+ * @tparam Link  the way to the other hosts; outlives this object
+ */
+template <PlacementPeers Link>
+class SharedPlacement
+{
+public:
+    SharedPlacement(asio::any_io_executor executor, HostId self, const BalancingSettings &settings,
+                    Random &random, Metrics &metrics, Link &link)
+        : m_executor(std::move(executor))
+        , m_self(self)
+        , m_settings(settings)
+        , m_random(random)
+        , m_metrics(metrics)
+        , m_link(link)
+    {
+    }
+
+    // As PlacementSource requires.
+    Task<std::variant<PlacedTarget, Refusal>> place(PlacementRequest request, TimePoint deadline);
+    void abandon(const AttemptId &attempt);
+    void report(AttemptReport report);
+
+    // Messages of other hosts.
+    void take(HostId from, const PlacementRequest &request, TimePoint now);
+    void take(HostId from, const PlacementAnswer &answer, TimePoint now);
+    void take(HostId from, const AttemptReport &report, TimePoint now);
+    void take(HostId from, const PlacementCancel &cancel, TimePoint now);
+
+    /** Takes over what the registry holds. */
+    void follow(const Registry &registry, std::size_t hosts, TimePoint now);
+    /** Lets time pass for requests that wait here. */
+    void tick(TimePoint now);
+    bool anyWaiting() const;
+
+    ServiceBalancer *find(const ServiceId &service);
+    std::map<ServiceId, std::unique_ptr<ServiceBalancer>> &balancers() { return m_balancers; }
+    std::string healthPath(const ServiceId &service) const;
+
+private:
+    /** A request of this host that waits for the answer of a placing host. */
+    struct Pending
+    {
+        explicit Pending(const asio::any_io_executor &executor)
+            : answer(executor)
+        {
+        }
+        OneShot<PlacementAnswer> answer;
+        HostId asked;
+        ServiceId service;
+        /** The placing host has said that the request waits there. */
+        bool waits = false;
+        bool abandoned = false;
+    };
+    class PendingScope;
+
+    Task<std::optional<PlacementAnswer>> ask(PlacementRequest request, Pending &pending,
+                                             TimePoint deadline);
+    std::variant<PlacedTarget, Refusal> alone(const PlacementRequest &request);
+    std::variant<PlacedTarget, Refusal> settle(const PlacementRequest &request, HostId placedBy,
+                                               const PlacementAnswer &answer);
+    PlacedTarget placed(const PlacementRequest &request, const BalancedChoice &choice,
+                        HostId placedBy);
+    void deliver(const PlacementDecision &decision);
+    void dispatch(ServiceBalancer &balancer, TimePoint now);
+
+    asio::any_io_executor m_executor;
+    HostId m_self;
+    BalancingSettings m_settings;
+    Random &m_random;
+    Metrics &m_metrics;
+    Link &m_link;
+    std::map<ServiceId, std::unique_ptr<ServiceBalancer>> m_balancers;
+    std::map<ServiceId, std::string> m_healthPaths;
+    std::map<AttemptId, Pending *> m_pending;
+    Log m_log{"placement"};
+};
+
+/** Guards nothing: requests here carry no keys, and each goes to one host only. */
+struct NoRunKeys
+{
+    Task<std::optional<Refusal>> claim(RunClaim, TimePoint) { co_return std::nullopt; }
+    void finish(RunClaim, RunEnd) {}
+};
+
+} // namespace endivedock
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -83,12 +83,20 @@
     boost::system::error_code ignored; // Closing can only fail if it was closed before.
     m_acceptor.close(ignored);
     for (auto *session : m_sessions) {
-        if (session->open.empty())
-            session->caller.shutdownSend();
+        closeIfIdle(*session);
         notify(*session);
     }
 }
 
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::closeIfIdle(Session &session)
+{
+    if (session.reading || !session.open.empty())
+        return;
+    session.closing = true;
+    session.caller.shutdownSend();
+}
+
 template <FrontEnd F, PlacementSource P, RunGuard R>
 GatewayActivity GatewayServer<F, P, R>::activity() const
 {
@@ -154,7 +162,9 @@
             }
             if (session->closing)
                 co_return; // Counts as not read; the answer before it says that it is the last.
+            session->reading = true;
             co_await readRequest(session, std::move(*head));
+            session->reading = false;
         } catch (const CallerRequestError &error) {
             malformed = error.refusal();
         }
@@ -198,8 +208,7 @@
     session->exclusive = alone;
     request->number = session->read++;
     // What is left of a body that nobody reads would be taken for the next request.
-    if (!request->terms.keepAlive || !request->bodyBuffered || m_stopping)
-        session->closing = session->closing || !request->terms.keepAlive || m_stopping;
+    session->closing = session->closing || !request->terms.keepAlive || m_stopping;
     session->open[request->number] = request;
     if (const auto *refusal = std::get_if<Refusal>(&planned)) {
         if (!request->bodyBuffered) {
@@ -244,8 +253,8 @@
 {
     session.open.erase(request.number);
     session.answered = std::max(session.answered, request.number + 1);
-    if (m_stopping && session.open.empty())
-        session.caller.shutdownSend();
+    if (m_stopping)
+        closeIfIdle(session);
     notify(session);
 }
 
@@ -504,6 +513,9 @@
                 field("took_ms", report.time.count() / 1000),
                 field("config", request->plan.configuration),
                 field("left_ms", toMilliseconds(request->plan.deadline - SteadyClock().now()).count()),
+                field("running", report.load ? report.load->running.value() : -1),
+                field("waiting", report.load ? report.load->waiting.value() : -1),
+                field("slowdown", report.load ? report.load->slowdown : -1),
                 field("cause", cause.empty() ? "-" : cause)});
     co_return result;
 }
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -147,6 +147,8 @@
         /** The request read last is not idempotent, so nothing may run beside it. */
         bool exclusive = false;
         bool callerGone = false;
+        /** A request has arrived in part. */
+        bool reading = false;
         /** An answer that closes the connection has been sent, or will be. */
         bool closing = false;
     };
@@ -183,6 +185,7 @@
     void finishRequest(Session &session, const Request &request);
     void callerIsGone(Session &session);
     void notify(Session &session);
+    void closeIfIdle(Session &session);
     Task<Result> runClaimed(SessionPtr session, RequestPtr request);
     Task<Result> runAttempts(SessionPtr session, RequestPtr request);
     Task<AttemptResult> attempt(SessionPtr session, RequestPtr request, PlacedTarget target,
--- a/include/endivedock/loadnews/news_relay.h
+++ b/include/endivedock/loadnews/news_relay.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace endivedock {
@@ -15,8 +16,14 @@
 class NewsRelay
 {
 public:
-    /** Takes one host's news. @return what all the others told */
-    ServicePicture exchange(HostId from, const ServiceNews &news, TimePoint now);
+    /**
+     * Takes one host's news.
+     *
+     * @param granted  requests that this host has placed for others than @p from
+     * @return what all the others told, and @p granted
+     */
+    ServicePicture exchange(HostId from, const ServiceNews &news,
+                            std::span<const TargetNews> granted, TimePoint now);
 
     /** @param order  the running order, or nothing; @param startedAt when it was first seen */
     void setOrder(const ServiceId &service, const std::optional<MoveOrder> &order,
--- a/include/endivedock/loadnews/relay_choice.h
+++ b/include/endivedock/loadnews/relay_choice.h
@@ -25,6 +25,8 @@
     HostId relayFor(const ServiceId &service, TimePoint now) const;
     void asked(HostId host, TimePoint now);
     void heard(HostId host, TimePoint now);
+    /** The host left a question unanswered for too long; it is passed over for a while. */
+    void unanswered(HostId host, TimePoint now);
 
     /** A host that was asked and has been silent for this long is passed over. */
     static constexpr Milliseconds patience{300};
--- a/include/endivedock/placement/codec.h
+++ b/include/endivedock/placement/codec.h
@@ -15,7 +15,8 @@
 void serialize(Archive &archive, PlacementRequest &request)
 {
     archive(request.attempt, request.service, request.sending, request.route, request.priority,
-            request.retry, request.remaining, request.fingerprint, request.exclude);
+            request.retry, request.remaining, request.fingerprint, request.exclude,
+            request.objective);
 }
 
 template <typename Archive>
@@ -46,11 +47,18 @@
     archive(cancel.attempt, cancel.service);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, ReportedLoad &load)
+{
+    archive(load.running, load.waiting, load.slots, load.slowdown);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, AttemptReport &report)
 {
     archive(report.attempt, report.service, report.grant, report.target, report.outcome,
-            report.time, report.incarnation, report.reportedInFlight);
+            report.time, report.incarnation, report.reportedInFlight, report.load,
+            report.misdirected);
 }
 
 template <typename Archive>
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -35,7 +35,7 @@
     Fingerprint fingerprint;
     /** Targets that this request has been on. */
     std::vector<TargetId> exclude;
-    /** Time from arrival within which an answer is worth most to the caller; not sent to others. */
+    /** Time from arrival within which an answer is worth most to the caller. */
     Milliseconds objective{0};
 };
 
@@ -117,9 +117,8 @@
     /** What the target showed of itself with the answer. */
     std::optional<Incarnation> incarnation;
     std::optional<Slots> reportedInFlight;
-    /** Used only by a host that places its own requests; not sent to others. */
     std::optional<ReportedLoad> load;
-    /** Another target answered at the address; not sent to others. */
+    /** Another target answered at the address. */
     bool misdirected = false;
 };
 
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include <xxhash.h>
 
@@ -16,7 +17,17 @@
 /** A cold target works about this many times slower. */
 constexpr double coldFactor = 2.0;
 /** Targets whose expected finish is within this factor of the best count as equal. */
-constexpr double equalFinish = 1.1;
+constexpr double equalFinish = 1.15;
+/** Requests that wait for targets of one service at the same time. */
+constexpr std::size_t mostWaiting = 400;
+/** Waiting requests that are passed over for one behind them, when special rules keep them back. */
+constexpr int mostPassedOver = 8;
+/** Waiting for a fast target must promise at least this much; both times are estimates. */
+constexpr double waitingGain = 1.5;
+/** Loads are asked for as long as requests have come within this time. */
+constexpr Milliseconds busyTime{1500};
+/** A grant to another host is held for this long after its request's deadline. */
+constexpr Milliseconds grantMargin{300};
 /** If more of the targets look bad, the cause is elsewhere. */
 constexpr double mostEjected = 0.5;
 /** How old the baseline of the targets' times may be. */
@@ -50,12 +61,14 @@
                                           static_cast<XXH64_hash_t>(target.startedAt.value_or(0))));
 }
 
-ServiceBalancer::ServiceBalancer(ServiceId service, const BalancingSettings &settings,
+ServiceBalancer::ServiceBalancer(ServiceId service, HostId self, const BalancingSettings &settings,
                                  Random &random)
     : m_service(std::move(service))
+    , m_self(self)
     , m_settings(settings)
     , m_random(random)
     , m_retryBudget(settings.retryShare)
+    , m_aloneBudget(settings.retryShare)
 {
     m_rules.id = m_service;
     m_retryBudget.setAllowance(settings.retryAllowance);
@@ -69,7 +82,7 @@
 void ServiceBalancer::setHosts(std::size_t hosts)
 {
     m_hosts = std::max<std::size_t>(hosts, 1);
-    m_retryBudget.setAllowance(m_settings.retryAllowance / static_cast<double>(m_hosts));
+    m_aloneBudget.setAllowance(m_settings.aloneAllowance / static_cast<double>(m_hosts));
 }
 
 void ServiceBalancer::setTargets(std::span<const RegisteredTarget> targets, TimePoint now)
@@ -87,7 +100,7 @@
         if (!added)
             target.update(entry, now);
         if (target.cold(now) && !wasCold)
-            target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval() *
+            target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval(Manner::Alone) *
                                                                        drawUnit(m_random)));
     }
     std::erase_if(m_targets, [&](const auto &item) { return !present.contains(item.first); });
@@ -102,19 +115,22 @@
             continue;
         // Unseen meanwhile, so it may have turned cold; a probe tells sooner.
         target.chill(now + m_rules.warmup);
-        target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval() *
+        target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval(Manner::Alone) *
                                                                    drawUnit(m_random)));
     }
     m_zonesOut = zones;
 }
 
-Duration ServiceBalancer::coldInterval() const
+Duration ServiceBalancer::coldInterval(Manner manner) const
 {
     if (!m_rules.warmupRate || m_rules.warmupRate->value() <= 0)
         return Duration::zero();
-    const double rate = m_rules.warmupRate->value() * m_settings.coldRate.value();
-    return std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(static_cast<double>(m_hosts) / rate));
+    const double rate = m_rules.warmupRate->value();
+    const double interval = manner == Manner::Central
+                                    ? 1 / (rate * m_settings.coldRate.value())
+                                    : static_cast<double>(m_hosts) /
+                                              (rate * m_settings.aloneColdRate.value());
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(interval));
 }
 
 Duration ServiceBalancer::silencePatience() const
@@ -165,64 +181,76 @@
     return count == 0 ? 1.0 : sum / count;
 }
 
-double ServiceBalancer::expectedFinish(const TargetState &target, TimePoint now) const
+int ServiceBalancer::roomOf(const TargetState &target) const
+{
+    const int slots = target.registered().slots.value();
+    return std::max(1, static_cast<int>(slots * m_settings.roomy.value()));
+}
+
+double ServiceBalancer::expectedWork(const TargetState &target, TimePoint now) const
 {
-    const RegisteredTarget &entry = target.registered();
-    const double slots = std::max(entry.slots.value(), 1);
-    const double inFlight = target.inFlight(now, m_settings).value();
     double work = m_usualTime > 0 ? m_usualTime : firstUsualTime;
     const auto own = static_cast<double>(target.health().meanTime().count());
     // A target that is slow by itself is known by its own answers.
     if (own > 2 * work)
         work = own;
     work *= target.expectedSlowdown(now, m_usualSlowdown, m_settings.burst);
-    if (inFlight + 1 >= slots)
-        work *= m_settings.crowding;
-    if (target.cold(now))
-        work *= coldFactor;
-    const double ahead = std::max(0.0, inFlight + 1 - slots);
-    double finish = work + ahead * work / slots;
-    if (entry.zone != m_settings.zone)
-        finish += static_cast<double>(m_settings.zonePenalty.count());
-    return finish;
-}
-
-std::optional<ServiceBalancer::Candidate> ServiceBalancer::best(const PlacementRequest &request,
-                                                                PassRules rules, TimePoint now)
-{
-    std::vector<Candidate> candidates;
-    const bool sparing = mayEject(now);
-    double least = 0;
+    return target.cold(now) ? work * coldFactor : work;
+}
+
+ServiceBalancer::Survey ServiceBalancer::survey(const PlacementRequest &request, MoveSide side,
+                                                Manner manner, TimePoint now)
+{
+    Survey result;
+    const bool sparing = manner != Manner::Desperate && mayEject(now);
     for (auto &[id, target] : m_targets) {
-        if (!usable(target, rules.side) || target.absent(now))
+        if (!usable(target, side) || target.absent(now))
             continue;
-        if (std::find(request.exclude.begin(), request.exclude.end(), id) != request.exclude.end())
+        if (sparing && !looksWell(target, now))
             continue;
-        if (target.cold(now) && !target.coldAllowance(now))
+        result.any = true;
+        const int inFlight = target.inFlight(now, m_settings).value();
+        const int slots = std::max(target.registered().slots.value(), 1);
+        const int room = roomOf(target);
+        double work = expectedWork(target, now);
+        const bool cold = target.cold(now);
+        if (!cold) {
+            result.rate += room / work;
+            result.leastWork =
+                    result.leastWork == 0 ? work : std::min(result.leastWork, work);
+        }
+        if (cold && !target.coldAllowance(now))
+            continue;
+        if (manner == Manner::Central && inFlight >= room)
             continue;
-        if (!rules.desperate && sparing && !looksWell(target, now))
+        const auto &exclude = request.exclude;
+        if (std::find(exclude.begin(), exclude.end(), id) != exclude.end())
             continue;
-        const double finish = expectedFinish(target, now);
-        least = candidates.empty() ? finish : std::min(least, finish);
-        candidates.push_back({&target, finish, target.inFlight(now, m_settings).value()});
+        if (inFlight >= room)
+            work *= m_settings.crowding;
+        double finish = work + std::max(0, inFlight + 1 - slots) * work / slots;
+        if (target.registered().zone != m_settings.zone)
+            finish += static_cast<double>(m_settings.zonePenalty.count());
+        result.candidates.push_back(
+                {&target, finish, inFlight, static_cast<double>(inFlight) / slots});
     }
+    return result;
+}
+
+std::optional<ServiceBalancer::Candidate>
+ServiceBalancer::pickFrom(std::vector<Candidate> &candidates)
+{
+    double least = std::numeric_limits<double>::max();
+    for (const auto &candidate : candidates)
+        least = std::min(least, candidate.finish);
     std::erase_if(candidates, [least](const Candidate &candidate) {
         return candidate.finish > least * equalFinish;
     });
     if (candidates.empty())
         return std::nullopt;
-    // Hosts see the same picture at the same time; two draws keep them from one choice.
     const Candidate &one = candidates[drawBelow(m_random, candidates.size())];
     const Candidate &two = candidates[drawBelow(m_random, candidates.size())];
-    return one.inFlight <= two.inFlight ? one : two;
-}
-
-std::optional<ServiceBalancer::Candidate>
-ServiceBalancer::bestOnSide(const PlacementRequest &request, MoveSide side, TimePoint now)
-{
-    if (auto chosen = best(request, {side, false}, now))
-        return chosen;
-    return best(request, {side, true}, now);
+    return one.fullness <= two.fullness ? one : two;
 }
 
 Refusal ServiceBalancer::refuse(RefusalReason reason, Milliseconds retryAfter)
@@ -233,15 +261,16 @@
     return {reason, RunCertainty::NotRun, retryAfter + Milliseconds(spread)};
 }
 
-std::optional<Refusal> ServiceBalancer::refuseEarly(const PlacementRequest &request, TimePoint now)
+std::optional<Refusal> ServiceBalancer::refuseEarly(const PlacementRequest &request,
+                                                    RetryBudget &budget, TimePoint now)
 {
     if (m_suspects.convicted(request.fingerprint, now))
         return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
     if (!request.retry) {
-        m_retryBudget.countFirst(now);
+        budget.countFirst(now);
         return std::nullopt;
     }
-    if (!m_retryBudget.tryRetry(now))
+    if (!budget.tryRetry(now))
         return refuse(RefusalReason::RetryBudget, shortReturn);
     ++m_counters.retries;
     return std::nullopt;
@@ -256,73 +285,249 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(latest));
 }
 
-std::variant<BalancedChoice, Refusal> ServiceBalancer::place(const PlacementRequest &request,
-                                                             TimePoint now)
+ServiceBalancer::Verdict ServiceBalancer::decide(const PlacementRequest &request,
+                                                 std::size_t ahead, Duration waited, TimePoint now)
+{
+    const bool moving = m_versions.running().has_value();
+    const bool moved = moving && m_moveShare >= Share(1);
+    const bool tryNew = moving && drawUnit(m_random) < m_moveShare.value();
+    if (tryNew) {
+        Survey fresh = survey(request, MoveSide::New, Manner::Central, now);
+        if (const auto chosen = pickFrom(fresh.candidates))
+            return {chosen, false, {}};
+    }
+    // The old version takes what the new one has no room for; never the other way round.
+    const MoveSide side = moved ? MoveSide::New : MoveSide::Old;
+    Survey seen = survey(request, side, Manner::Central, now);
+    if (!seen.any) {
+        seen = survey(request, side, Manner::Desperate, now);
+        const auto chosen = pickFrom(seen.candidates);
+        return {chosen, false, RefusalReason::NoTarget};
+    }
+    const double wait = seen.rate > 0 ? static_cast<double>(ahead + 1) / seen.rate : 0;
+    const double patient = wait + seen.leastWork;
+    const auto latest = std::chrono::duration<double, std::micro>(latestFinish(request) - waited);
+    const auto chosen = pickFrom(seen.candidates);
+    // A slow target with room is worse than a short wait for a fast one.
+    if (chosen && (chosen->finish <= patient * waitingGain || seen.rate == 0)) {
+        if (chosen->finish <= latest.count())
+            return {chosen, false, {}};
+        return {std::nullopt, false, RefusalReason::QueueFull};
+    }
+    if (seen.rate > 0 && patient <= latest.count())
+        return {std::nullopt, true, {}};
+    return {std::nullopt, false, RefusalReason::QueueFull};
+}
+
+std::optional<ServiceBalancer::Outcome> ServiceBalancer::place(const PlacementRequest &request,
+                                                               TimePoint now)
 {
+    if (m_tickets.contains(request.attempt))
+        return std::nullopt; // Sent again while it waits.
+    const auto granted = m_granted.find(request.attempt);
+    if (granted != m_granted.end()) {
+        if (const auto choice = find(granted->second))
+            return *choice;
+    }
     refreshBaseline(now);
-    if (auto refusal = refuseEarly(request, now))
+    m_placedAt = now;
+    if (auto refusal = refuseEarly(request, m_retryBudget, now))
+        return *refusal;
+    const Verdict verdict = decide(request, m_waiting.size(), Duration::zero(), now);
+    if (verdict.chosen && m_waiting.empty())
+        return grant(request, *verdict.chosen, Manner::Central, now);
+    if (!verdict.chosen && !verdict.wait)
+        return refuse(verdict.reason,
+                      verdict.reason == RefusalReason::NoTarget ? longReturn : shortReturn);
+    const Duration latestStart = latestFinish(request) - usualTime();
+    auto admission = m_waiting.add(Waiting{request, now}, request.priority,
+                                   now + std::max(latestStart, Duration::zero()), mostWaiting);
+    if (!admission.ticket)
+        return refuse(RefusalReason::QueueFull, shortReturn);
+    m_tickets[request.attempt] = *admission.ticket;
+    if (admission.evicted)
+        m_tickets.erase(admission.evicted->request.attempt);
+    return std::nullopt;
+}
+
+std::vector<PlacementDecision> ServiceBalancer::dispatch(TimePoint now)
+{
+    std::vector<PlacementDecision> result;
+    expireGrants(now);
+    while (auto overdue = m_waiting.takeOverdue(now)) {
+        m_tickets.erase(overdue->request.attempt);
+        result.push_back({overdue->request, refuse(RefusalReason::QueueFull, shortReturn)});
+    }
+    if (m_waiting.empty())
+        return result;
+    refreshBaseline(now);
+    std::size_t ahead = 0;
+    m_waiting.serve(mostPassedOver, [&](const Waiting &waiting) {
+        PlacementRequest request = waiting.request;
+        const Duration waited = now - waiting.arrivedAt;
+        const Verdict verdict = decide(request, ahead, waited, now);
+        if (!verdict.chosen) {
+            ++ahead;
+            return false;
+        }
+        request.remaining -= toMilliseconds(waited);
+        m_tickets.erase(request.attempt);
+        result.push_back({request, grant(request, *verdict.chosen, Manner::Central, now)});
+        return true;
+    });
+    return result;
+}
+
+void ServiceBalancer::cancel(const AttemptId &attempt)
+{
+    const auto ticket = m_tickets.find(attempt);
+    if (ticket != m_tickets.end()) {
+        m_waiting.remove(ticket->second);
+        m_tickets.erase(ticket);
+    }
+    const auto granted = m_granted.find(attempt);
+    if (granted == m_granted.end())
+        return;
+    const auto grant = m_grants.find(granted->second);
+    const auto target = m_targets.find(grant->second.target);
+    if (target != m_targets.end())
+        target->second.ended(grant->first);
+    m_grants.erase(grant);
+    m_granted.erase(granted);
+}
+
+ServiceBalancer::Outcome ServiceBalancer::placeAlone(const PlacementRequest &request, TimePoint now)
+{
+    refreshBaseline(now);
+    if (auto refusal = refuseEarly(request, m_aloneBudget, now))
         return *refusal;
-    std::optional<Candidate> chosen;
     const bool moving = m_versions.running().has_value();
-    if (moving && drawUnit(m_random) < m_moveShare.value())
-        chosen = bestOnSide(request, MoveSide::New, now);
-    // The old version takes what the new one has no room for; never the other way round.
     const bool moved = moving && m_moveShare >= Share(1);
-    if (!chosen && !moved)
-        chosen = bestOnSide(request, MoveSide::Old, now);
+    const bool toNew = moved || (moving && drawUnit(m_random) < m_moveShare.value());
+    std::optional<Candidate> chosen;
+    if (toNew) {
+        Survey fresh = survey(request, MoveSide::New, Manner::Alone, now);
+        chosen = pickFrom(fresh.candidates);
+    }
+    const MoveSide side = moved ? MoveSide::New : MoveSide::Old;
+    if (!chosen) {
+        Survey seen = survey(request, side, Manner::Alone, now);
+        chosen = pickFrom(seen.candidates);
+    }
+    if (!chosen) {
+        Survey seen = survey(request, side, Manner::Desperate, now);
+        chosen = pickFrom(seen.candidates);
+    }
     if (!chosen)
         return refuse(RefusalReason::NoTarget, longReturn);
     const auto finish = Microseconds(static_cast<std::int64_t>(chosen->finish));
     if (finish > latestFinish(request))
         return refuse(RefusalReason::QueueFull, shortReturn);
-    return grant(request, *chosen, now);
+    return grant(request, *chosen, Manner::Alone, now);
+}
+
+std::optional<BalancedChoice> ServiceBalancer::adopt(const PlacementRequest &request,
+                                                     const Placement &placement, HostId placedBy,
+                                                     TimePoint now)
+{
+    const auto found = m_targets.find(placement.target);
+    if (found == m_targets.end())
+        return std::nullopt;
+    TargetState &target = found->second;
+    const RegisteredTarget &entry = target.registered();
+    if (entry.draining || m_zonesOut.contains(entry.zone) || !m_versions.side(entry.version))
+        return std::nullopt;
+    Candidate chosen{&target, expectedWork(target, now), target.inFlight(now, m_settings).value(), 0};
+    return track(request, placement.grant, placedBy, chosen, now);
 }
 
 BalancedChoice ServiceBalancer::grant(const PlacementRequest &request, const Candidate &chosen,
-                                      TimePoint now)
+                                      Manner manner, TimePoint now)
+{
+    if (chosen.target->cold(now)) {
+        chosen.target->spendCold(now, coldInterval(manner));
+        ++m_counters.cold;
+    }
+    return track(request, GrantId(m_random() | 1), m_self, chosen, now);
+}
+
+BalancedChoice ServiceBalancer::track(const PlacementRequest &request, GrantId id, HostId placedBy,
+                                      const Candidate &chosen, TimePoint now)
 {
     TargetState &target = *chosen.target;
     const RegisteredTarget &entry = target.registered();
-    BalancedChoice choice;
-    choice.grant = GrantId(m_random() | 1);
-    choice.target = entry;
-    const int part = m_rules.connections.value() / static_cast<int>(m_hosts);
-    choice.connections = Connections(std::max(part, entry.slots.value() + 1));
-    choice.cold = target.cold(now);
+    const bool cold = target.cold(now);
+    Grant grant;
+    grant.attempt = request.attempt;
+    grant.placedBy = placedBy;
+    grant.sentBy = request.attempt.host;
+    grant.target = entry.id;
+    grant.route = request.route;
+    grant.fingerprint = request.fingerprint;
+    grant.crowded = chosen.inFlight >= roomOf(target);
+    grant.cold = cold;
+    grant.slowdown = target.slowdown().slowdown;
+    grant.expires = now + request.remaining + grantMargin;
+    if (grant.sentBy != m_self)
+        m_granted[request.attempt] = id;
+    m_grants[id] = std::move(grant);
+    target.sent(id, now);
+    ++m_counters.chosen;
+    BalancedChoice choice = *find(id);
     choice.inFlight = Slots(chosen.inFlight);
     choice.expected = Milliseconds(static_cast<std::int64_t>(chosen.finish / 1000));
     choice.slowdownAge = toMilliseconds(now - target.slowdown().at);
-    if (choice.cold) {
-        target.spendCold(now, coldInterval());
-        ++m_counters.cold;
+    return choice;
+}
+
+void ServiceBalancer::expireGrants(TimePoint now)
+{
+    std::vector<AttemptId> expired;
+    for (const auto &[attempt, id] : m_granted) {
+        if (m_grants.at(id).expires <= now)
+            expired.push_back(attempt);
     }
-    ++m_counters.chosen;
-    target.sent(choice.grant, now);
-    m_grants[choice.grant] = {entry.id, request.route, request.fingerprint,
-                              chosen.inFlight >= entry.slots.value(), choice.cold,
-                              target.slowdown().slowdown};
+    for (const auto &attempt : expired)
+        cancel(attempt);
+}
+
+std::optional<BalancedChoice> ServiceBalancer::find(GrantId id) const
+{
+    const auto grant = m_grants.find(id);
+    if (grant == m_grants.end())
+        return std::nullopt;
+    const auto target = m_targets.find(grant->second.target);
+    if (target == m_targets.end())
+        return std::nullopt;
+    BalancedChoice choice;
+    choice.grant = id;
+    choice.target = target->second.registered();
+    const int part = m_rules.connections.value() / static_cast<int>(m_hosts);
+    choice.connections = Connections(std::max(part, choice.target.slots.value() + 1));
+    choice.cold = grant->second.cold;
     return choice;
 }
 
-void ServiceBalancer::finish(const AttemptReport &report, TimePoint now)
+std::optional<HostId> ServiceBalancer::finish(const AttemptReport &report, TimePoint now)
 {
     const auto found = m_grants.find(report.grant);
     if (found == m_grants.end())
-        return;
+        return std::nullopt;
     const Grant grant = found->second;
     m_grants.erase(found);
+    m_granted.erase(grant.attempt);
     const auto position = m_targets.find(grant.target);
     if (position == m_targets.end())
-        return; // The target has left meanwhile.
+        return grant.placedBy; // The target has left meanwhile.
     TargetState &target = position->second;
     target.ended(report.grant);
     if (report.load)
         target.noteSlowdown({report.load->slowdown, now});
-    if (report.misdirected) {
+    if (report.misdirected)
         target.connectionFailed(now, m_settings);
-        return;
-    }
-    takeOutcome(target, grant, report, now);
+    else
+        takeOutcome(target, grant, report, now);
+    return grant.placedBy;
 }
 
 void ServiceBalancer::takeOutcome(TargetState &target, const Grant &grant,
@@ -389,17 +594,22 @@
         m_baseline.failed = median(failed);
 }
 
-std::vector<ProbeTarget> ServiceBalancer::dueProbes(TimePoint now)
+std::vector<ProbeTarget> ServiceBalancer::dueProbes(bool placing, TimePoint now)
 {
     std::vector<ProbeTarget> result;
+    const bool busy = placing && now - m_placedAt < busyTime;
     for (auto &[id, target] : m_targets) {
         const RegisteredTarget &entry = target.registered();
-        const bool doubtful = target.unverified() || target.cold(now);
-        if (entry.draining || m_zonesOut.contains(entry.zone) || !doubtful)
+        if (entry.draining || m_zonesOut.contains(entry.zone))
+            continue;
+        const bool unknownLoad = busy && now - target.slowdown().at > m_settings.reportAge;
+        Milliseconds interval = m_settings.reportAge;
+        if (target.unverified())
+            interval = m_settings.probeInterval;
+        else if (target.cold(now) && !busy)
+            interval = m_settings.probeInterval * 4; // It tells how long it stays cold.
+        else if (!unknownLoad)
             continue;
-        // A cold target needs to be asked once or twice only; an absent one until it is back.
-        const Milliseconds interval =
-                target.unverified() ? m_settings.probeInterval : m_settings.probeInterval * 4;
         if (!target.takeProbe(now, interval))
             continue;
         ++m_counters.probes;
@@ -415,6 +625,8 @@
     if (found == m_targets.end())
         return;
     TargetState &target = found->second;
+    if (probe && probe->id == id && probe->load)
+        target.noteSlowdown({probe->load->slowdown, now});
     if (!probe || !probe->healthy || probe->id != id) {
         // Health answers can be false either way, so only a connection that fails counts as absence.
         if (!probe && target.unverified())
@@ -428,22 +640,28 @@
     const Milliseconds left = probe->coldFor.value_or(Milliseconds(0));
     target.warmAt(now + left);
     if (wasAbsent && left.count() > 0)
-        target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval() *
+        target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval(Manner::Alone) *
                                                                    drawUnit(m_random)));
 }
 
-std::vector<TargetNews> ServiceBalancer::news(TimePoint now) const
+std::vector<TargetNews> ServiceBalancer::news(HostId placing, TimePoint now) const
 {
+    std::map<TargetId, int> unknown;
+    for (const auto &[id, grant] : m_grants) {
+        if (grant.sentBy == m_self && grant.placedBy != placing)
+            ++unknown[grant.target];
+    }
     std::vector<TargetNews> result;
     for (const auto &[id, target] : m_targets) {
         const SlowdownReport &report = target.slowdown();
         const Milliseconds age = toMilliseconds(now - report.at);
         const bool known = report.at != TimePoint{} && age < m_settings.burst * 4;
-        if (target.own() == Slots(0) && !known)
+        const auto count = unknown.find(id);
+        if (count == unknown.end() && !known)
             continue;
         TargetNews entry;
         entry.target = targetKey(target.registered());
-        entry.inFlight = static_cast<std::uint16_t>(target.own().value());
+        entry.inFlight = static_cast<std::uint16_t>(count == unknown.end() ? 0 : count->second);
         entry.slowdown =
                 known ? static_cast<std::uint16_t>(std::clamp(report.slowdown * 100, 1.0, 60'000.0))
                       : 0;
@@ -453,6 +671,26 @@
     return result;
 }
 
+std::vector<TargetNews> ServiceBalancer::granted(HostId except) const
+{
+    std::map<TargetId, int> counts;
+    for (const auto &[id, grant] : m_grants) {
+        if (grant.placedBy == m_self && grant.sentBy != except)
+            ++counts[grant.target];
+    }
+    std::vector<TargetNews> result;
+    for (const auto &[id, count] : counts) {
+        const auto target = m_targets.find(id);
+        if (target == m_targets.end())
+            continue;
+        TargetNews entry;
+        entry.target = targetKey(target->second.registered());
+        entry.inFlight = static_cast<std::uint16_t>(count);
+        result.push_back(entry);
+    }
+    return result;
+}
+
 void ServiceBalancer::applyPicture(std::span<const TargetNews> others, TimePoint now)
 {
     std::map<TargetKey, const TargetNews *> index;
--- a/src/balancing/target_state.cpp
+++ b/src/balancing/target_state.cpp
@@ -23,7 +23,7 @@
         return;
     // A new life holds nothing of what was in flight, and knows nothing of its past failures.
     m_slowdown = {};
-    m_health = TargetHealth();
+    m_health = TargetHealth(balancedHealth());
     verified();
 }
 
--- a/src/edge/edge_message.cpp
+++ b/src/edge/edge_message.cpp
@@ -2,6 +2,7 @@
 
 #include "endivedock/loadnews/codec.h"
 #include "endivedock/peers/cereal_codec.h"
+#include "endivedock/placement/codec.h"
 
 namespace endivedock {
 
--- a/src/gateway/target_connection.cpp
+++ b/src/gateway/target_connection.cpp
@@ -70,6 +70,7 @@
     Task<> sendHead(const RequestHead &head)
     {
         m_reusable = false;
+        m_sentWhole = false;
         m_isHead = head.method == "HEAD";
         m_request.emplace();
         m_request->version(11);
@@ -140,6 +141,7 @@
     Task<AnswerHead> readHead()
     {
         m_parser.emplace();
+        m_finished = false;
         m_parser->header_limit(maxHeaderBytes);
         m_parser->body_limit(boost::none);
         m_parser->skip(m_isHead);
@@ -195,11 +197,11 @@
 
     void finishIfDone()
     {
-        if (!m_parser->is_done())
+        if (!m_parser->is_done() || m_finished)
             return;
+        m_finished = true;
         // Bytes left over belong to no request, so nothing on this connection can be trusted.
         m_reusable = m_sentWhole && m_parser->keep_alive() && m_buffer.size() == 0;
-        m_sentWhole = false;
     }
 
     bool answerComplete() const { return m_parser && m_parser->is_done(); }
@@ -228,6 +230,7 @@
     bool m_hasBody = false;
     bool m_sentWhole = false;
     bool m_reusable = false;
+    bool m_finished = false;
     std::optional<Milliseconds> m_keptIdle;
 };
 
--- a/src/host/peer_message.cpp
+++ b/src/host/peer_message.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /** Version of the message format; hosts of different versions do not talk. */
-constexpr std::uint8_t formatVersion = 1;
+constexpr std::uint8_t formatVersion = 2;
 
 } // namespace
 
--- a/src/loadnews/news_relay.cpp
+++ b/src/loadnews/news_relay.cpp
@@ -4,7 +4,8 @@
 
 namespace endivedock {
 
-ServicePicture NewsRelay::exchange(HostId from, const ServiceNews &news, TimePoint now)
+ServicePicture NewsRelay::exchange(HostId from, const ServiceNews &news,
+                                   std::span<const TargetNews> granted, TimePoint now)
 {
     ServiceState &state = m_services[news.service];
     state.hosts[from] = {news.targets, now};
@@ -18,6 +19,8 @@
                                   now);
     }
     std::map<TargetKey, TargetNews> sums;
+    for (const auto &entry : granted)
+        sums[entry.target] = entry;
     for (const auto &[host, told] : state.hosts) {
         const Milliseconds older = toMilliseconds(now - told.at);
         for (const auto &entry : told.targets) {
--- a/src/loadnews/relay_choice.cpp
+++ b/src/loadnews/relay_choice.cpp
@@ -51,6 +51,14 @@
         contact.waitingSince = now;
 }
 
+void RelayChoice::unanswered(HostId host, TimePoint now)
+{
+    Contact &contact = m_contacts[host];
+    const TimePoint overdue = now - patience - Milliseconds(1);
+    if (!contact.waitingSince || *contact.waitingSince > overdue)
+        contact.waitingSince = overdue;
+}
+
 void RelayChoice::heard(HostId host, TimePoint)
 {
     m_contacts[host].waitingSince.reset();
