moves: judge a version against a base, pack its first requests, skip timeouts that show nothing

Change: shares 2, 5, 8, 30, 60, 100 %; up to 30 % the new version's requests fill few targets, so that load shows early; counts of a step; without the old version beside it only gross faults count; routes without a base and timeouts below four usual times are left out; the fault is logged.

--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -215,7 +215,11 @@
     Duration coldInterval(Manner manner) const;
     Duration silencePatience() const;
     Survey survey(const PlacementRequest &request, MoveSide side, Manner manner, TimePoint now);
-    std::optional<Candidate> pickFrom(std::vector<Candidate> &candidates);
+    /** Which of equally good targets is taken. */
+    enum class Spread { Even, Packed };
+    std::optional<Candidate> pickFrom(std::vector<Candidate> &candidates,
+                                      Spread spread = Spread::Even);
+    Spread spreadOfNew() const;
     Verdict decide(const PlacementRequest &request, std::size_t ahead, Duration waited,
                    TimePoint now);
     std::optional<Refusal> refuseEarly(const PlacementRequest &request, RetryBudget &budget,
--- a/include/endivedock/gateway/attempt_policy.h
+++ b/include/endivedock/gateway/attempt_policy.h
@@ -21,6 +21,9 @@
     Duration timeLeft{0};
 };
 
+/** @return what a whole answer with this status says of the attempt */
+AttemptOutcome outcomeOf(unsigned status);
+
 /** Whether a target can have begun the attempt. */
 RunCertainty certaintyOf(AttemptOutcome outcome);
 
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -597,7 +597,7 @@
     if (!target.answerComplete())
         co_return co_await passOn(session, request, target, report, std::move(head),
                                   std::move(body));
-    result.outcome = head.status >= 500 ? AttemptOutcome::Failed : AttemptOutcome::Answered;
+    result.outcome = outcomeOf(head.status);
     result.answer = Answer{std::move(head), std::move(body)};
     co_return result;
 }
@@ -626,7 +626,7 @@
         throw CallerError(std::string("the target broke off its answer: ") + error.what());
     }
     AttemptResult result;
-    result.outcome = head.status >= 500 ? AttemptOutcome::Failed : AttemptOutcome::Answered;
+    result.outcome = outcomeOf(head.status);
     result.passedOn = true;
     co_return result;
 }
--- a/include/endivedock/loadnews/news_relay.h
+++ b/include/endivedock/loadnews/news_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/loadnews/messages.h"
+#include "endivedock/telemetry.h"
 
 #include <map>
 #include <optional>
@@ -50,7 +51,11 @@
         bool judging = false;
     };
 
+    void takeAnswer(const ServiceId &service, VersionMover &mover, const MoveAnswer &answer,
+                    TimePoint now);
+
     std::map<ServiceId, ServiceState> m_services;
+    Log m_log{"moves"};
 };
 
 } // namespace endivedock
--- a/include/endivedock/moves/evidence.h
+++ b/include/endivedock/moves/evidence.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
+#include <string_view>
 
 namespace endivedock {
 
@@ -20,19 +22,29 @@
     double bad = 0;
 };
 
+/** What shows that a new version is worse than the old one. */
+struct FaultEvidence
+{
+    RouteIndex route;
+    /** Over which answers: all, the recent ones, or those of the present step. */
+    std::string_view window;
+    AnswerCounts fresh;
+    AnswerCounts old;
+};
+
 /**
  * Compares the answers of a new version with those of the old one, for each route, under the same
  * load. An answer is bad if it failed or took several times the old version's usual time on that
  * route. Counts since the start find a fault from the beginning; counts that fade within seconds
- * find one that comes later.
+ * find one that comes later, and those of the present step one that comes with more load.
  */
 class MoveEvidence
 {
 public:
     void answered(MoveSide side, RouteIndex route, bool failed, Microseconds time, TimePoint now);
 
-    /** @return whether the new version is worse on any route beyond reasonable doubt */
-    bool faultFound() const;
+    /** @return a route on which the new version is worse beyond reasonable doubt, if there is one */
+    std::optional<FaultEvidence> fault() const;
     /** @return answers of the new version since resetStep() */
     int newAnswersInStep() const { return m_newInStep; }
     /** @return whether every route that the old version serves has been tried on the new one */
@@ -47,6 +59,7 @@
         AnswerCounts newTotal;
         AnswerCounts oldRecent;
         AnswerCounts newRecent;
+        AnswerCounts newStep;
         int oldInStep = 0;
         int newInStep = 0;
         TimePoint fadedAt{};
--- a/include/endivedock/moves/version_mover.h
+++ b/include/endivedock/moves/version_mover.h
@@ -71,6 +71,8 @@
     Share share() const;
     MoveProgress progress() const;
     bool ended() const;
+    /** What took the move back here; absent if it was something else, or another host. */
+    const std::optional<FaultEvidence> &fault() const { return m_fault; }
 
 private:
     struct Machine;
@@ -80,6 +82,7 @@
     std::uint64_t m_number;
     MoveTimes m_times;
     MoveEvidence m_evidence;
+    std::optional<FaultEvidence> m_fault;
     TimePoint m_stepStartedAt;
 };
 
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -20,6 +20,8 @@
 constexpr double equalFinish = 1.15;
 /** Requests that wait for targets of one service at the same time. */
 constexpr std::size_t mostWaiting = 400;
+/** Below this share a new version's requests go to as few targets as can take them. */
+constexpr Share packedBelow{0.45};
 /** Waiting requests that are passed over for one behind them, when special rules keep them back. */
 constexpr int mostPassedOver = 8;
 /** Waiting for a fast target must promise at least this much; both times are estimates. */
@@ -34,6 +36,8 @@
 constexpr Milliseconds baselineAge{100};
 /** Answers kept for the decision on a move until the next message. */
 constexpr std::size_t mostMoveAnswers = 256;
+/** A target that has had this many usual times and not answered has failed. */
+constexpr int fairTimes = 4;
 /** A stopped target is noticed after this many usual times, but no sooner than the settings say. */
 constexpr int silentTimes = 6;
 /** Callers that are refused come back after this time, and up to as much again. */
@@ -238,7 +242,7 @@
 }
 
 std::optional<ServiceBalancer::Candidate>
-ServiceBalancer::pickFrom(std::vector<Candidate> &candidates)
+ServiceBalancer::pickFrom(std::vector<Candidate> &candidates, Spread spread)
 {
     double least = std::numeric_limits<double>::max();
     for (const auto &candidate : candidates)
@@ -248,6 +252,11 @@
     });
     if (candidates.empty())
         return std::nullopt;
+    const auto fuller = [](const Candidate &a, const Candidate &b) {
+        return a.fullness < b.fullness;
+    };
+    if (spread == Spread::Packed)
+        return *std::max_element(candidates.begin(), candidates.end(), fuller);
     const Candidate &one = candidates[drawBelow(m_random, candidates.size())];
     const Candidate &two = candidates[drawBelow(m_random, candidates.size())];
     return one.fullness <= two.fullness ? one : two;
@@ -285,6 +294,12 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(latest));
 }
 
+ServiceBalancer::Spread ServiceBalancer::spreadOfNew() const
+{
+    // A few requests on one target show early what a version does under load.
+    return m_moveShare < packedBelow ? Spread::Packed : Spread::Even;
+}
+
 ServiceBalancer::Verdict ServiceBalancer::decide(const PlacementRequest &request,
                                                  std::size_t ahead, Duration waited, TimePoint now)
 {
@@ -293,7 +308,7 @@
     const bool tryNew = moving && drawUnit(m_random) < m_moveShare.value();
     if (tryNew) {
         Survey fresh = survey(request, MoveSide::New, Manner::Central, now);
-        if (const auto chosen = pickFrom(fresh.candidates))
+        if (const auto chosen = pickFrom(fresh.candidates, spreadOfNew()))
             return {chosen, false, {}};
     }
     // The old version takes what the new one has no room for; never the other way round.
@@ -407,7 +422,7 @@
     std::optional<Candidate> chosen;
     if (toNew) {
         Survey fresh = survey(request, MoveSide::New, Manner::Alone, now);
-        chosen = pickFrom(fresh.candidates);
+        chosen = pickFrom(fresh.candidates, spreadOfNew());
     }
     const MoveSide side = moved ? MoveSide::New : MoveSide::Old;
     if (!chosen) {
@@ -555,8 +570,13 @@
         m_suspects.crashed(grant.fingerprint, target.registered().id, now);
         failed = true;
         break;
-    case AttemptOutcome::Failed:
     case AttemptOutcome::TimedOut:
+        // A caller that leaves hardly any time shows nothing of the target.
+        if (report.time < usualTime() * fairTimes)
+            return;
+        failed = true;
+        break;
+    case AttemptOutcome::Failed:
         failed = true;
         break;
     }
--- a/src/gateway/attempt_policy.cpp
+++ b/src/gateway/attempt_policy.cpp
@@ -2,6 +2,15 @@
 
 namespace endivedock {
 
+AttemptOutcome outcomeOf(unsigned status)
+{
+    constexpr unsigned firstServerError = 500;
+    constexpr unsigned gatewayTimeout = 504;
+    if (status == gatewayTimeout)
+        return AttemptOutcome::TimedOut; // The target stopped work at the deadline it was given.
+    return status >= firstServerError ? AttemptOutcome::Failed : AttemptOutcome::Answered;
+}
+
 RunCertainty certaintyOf(AttemptOutcome outcome)
 {
     switch (outcome) {
--- a/src/loadnews/news_relay.cpp
+++ b/src/loadnews/news_relay.cpp
@@ -15,8 +15,7 @@
         if (news.move)
             state.mover->merge(*news.move);
         for (const auto &answer : news.answers)
-            state.mover->answered(answer.side, RouteIndex(answer.route), answer.failed, answer.time,
-                                  now);
+            takeAnswer(news.service, *state.mover, answer, now);
     }
     std::map<TargetKey, TargetNews> sums;
     for (const auto &entry : granted)
@@ -45,6 +44,21 @@
     return picture;
 }
 
+void NewsRelay::takeAnswer(const ServiceId &service, VersionMover &mover, const MoveAnswer &answer,
+                           TimePoint now)
+{
+    const bool ended = mover.ended();
+    mover.answered(answer.side, RouteIndex(answer.route), answer.failed, answer.time, now);
+    if (ended || !mover.fault())
+        return;
+    const FaultEvidence &fault = *mover.fault();
+    m_log.info("Fault found",
+               {field("service", service), field("route", fault.route.value()),
+                field("window", fault.window), field("new_bad", fault.fresh.bad),
+                field("new_answers", fault.fresh.answers), field("old_bad", fault.old.bad),
+                field("old_answers", fault.old.answers)});
+}
+
 void NewsRelay::setOrder(const ServiceId &service, const std::optional<MoveOrder> &order,
                          TimePoint startedAt)
 {
--- a/src/moves/evidence.cpp
+++ b/src/moves/evidence.cpp
@@ -15,10 +15,18 @@
 constexpr Milliseconds halfLife{2000};
 /** Bad part that is never held against a new version. */
 constexpr double toleratedBad = 0.02;
+/** Answers that the old version is taken to have given besides, one of them bad. */
+constexpr double unseenAnswers = 12;
+/** With fewer answers of the old version on a route there is nothing to compare with. */
+constexpr double fewestOldAnswers = 8;
+/** As above while the old version gets no requests to compare with. */
+constexpr double toleratedAlone = 0.15;
 /** A new version may be this much worse than the old one before it counts as evidence. */
 constexpr double toleratedFactor = 1.5;
 /** Logarithm of the odds against an equally good version showing this much. */
 constexpr double doubt = 12.0;
+/** As above for the counts of one step, of which there are more and which begin anew. */
+constexpr double stepDoubt = 24.0;
 /** Answers on a route, in one step, before the route counts as tried. */
 constexpr int routeAnswers = 3;
 /** A route with less of the old version's answers than this part need not be tried. */
@@ -35,14 +43,14 @@
     return result;
 }
 
-bool worse(const AnswerCounts &fresh, const AnswerCounts &old)
+bool worse(const AnswerCounts &fresh, const AnswerCounts &old, double odds, double tolerated)
 {
     if (fresh.answers < 1)
         return false;
-    const double oldBad = (old.bad + 1) / (old.answers + 50);
-    const double expected = std::min(0.95, std::max(toleratedBad, oldBad * toleratedFactor));
+    const double oldBad = (old.bad + 1) / (old.answers + unseenAnswers);
+    const double expected = std::min(0.95, std::max(tolerated, oldBad * toleratedFactor));
     const double seen = fresh.bad / fresh.answers;
-    return seen > expected && fresh.answers * divergence(seen, expected) > doubt;
+    return seen > expected && fresh.answers * divergence(seen, expected) > odds;
 }
 
 void add(AnswerCounts &counts, bool bad)
@@ -81,6 +89,7 @@
     if (side == MoveSide::New) {
         add(route.newTotal, bad);
         add(route.newRecent, bad);
+        add(route.newStep, bad);
         ++route.newInStep;
         ++m_newInStep;
         return;
@@ -95,12 +104,21 @@
     route.usualMicroseconds += (taken - route.usualMicroseconds) * usualWeight;
 }
 
-bool MoveEvidence::faultFound() const
+std::optional<FaultEvidence> MoveEvidence::fault() const
 {
-    return std::any_of(m_routes.begin(), m_routes.end(), [](const auto &item) {
-        const Route &route = item.second;
-        return worse(route.newTotal, route.oldTotal) || worse(route.newRecent, route.oldRecent);
-    });
+    for (const auto &[index, route] : m_routes) {
+        if (route.oldTotal.answers < fewestOldAnswers)
+            continue;
+        // Without answers of the old version beside it, trouble of all targets looks like a fault.
+        const double tolerated = route.oldInStep > 0 ? toleratedBad : toleratedAlone;
+        if (worse(route.newTotal, route.oldTotal, doubt, tolerated))
+            return FaultEvidence{index, "all", route.newTotal, route.oldTotal};
+        if (worse(route.newRecent, route.oldRecent, doubt, tolerated))
+            return FaultEvidence{index, "recent", route.newRecent, route.oldRecent};
+        if (worse(route.newStep, route.oldTotal, stepDoubt, tolerated))
+            return FaultEvidence{index, "step", route.newStep, route.oldTotal};
+    }
+    return std::nullopt;
 }
 
 bool MoveEvidence::routesCovered() const
@@ -120,6 +138,7 @@
     for (auto &[index, route] : m_routes) {
         route.oldInStep = 0;
         route.newInStep = 0;
+        route.newStep = {};
     }
 }
 
--- a/src/moves/version_mover.cpp
+++ b/src/moves/version_mover.cpp
@@ -16,7 +16,11 @@
 
 namespace {
 
-constexpr std::array<double, 6> shares{0.02, 0.05, 0.10, 0.25, 0.50, 1.0};
+/**
+ * A fault that shows only under load shows in the last steps, which are short; what the steps before
+ * have sent leaves room for them within a tenth of all requests.
+ */
+constexpr std::array<double, 6> shares{0.02, 0.05, 0.08, 0.30, 0.60, 1.0};
 constexpr int lastStep = static_cast<int>(shares.size()) - 1;
 /** Good answers of the new version before its share rises. */
 constexpr int answersForStep = 60;
@@ -251,7 +255,8 @@
     if (ended())
         return false;
     m_evidence.answered(side, route, failed, time, now);
-    if (side == MoveSide::New && m_evidence.faultFound()) {
+    m_fault = side == MoveSide::New ? m_evidence.fault() : std::nullopt;
+    if (m_fault) {
         m_machine->process_event(FaultFound{});
         return true;
     }
