edge: a few hosts read the platform's store and tell the others; strong hosts place

Change: the first four hosts in an order that all share read; changes are pushed as datagrams or fetched over a stream; readers tell of themselves twice a second and the next one takes over after 1.3 s; the fleet's first start shares one listing, a restarted host lists at once; registration without a lease.

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -10,24 +10,30 @@
 
 namespace edge_detail {
 
-/** Hosts tell each other what they have in flight this often; see docs/DESIGN.md. */
+/** Hosts of a small fleet tell each other this often what they have in flight. */
 constexpr Milliseconds newsInterval{100};
+/** And of a larger one as much more seldom as it is larger than this, up to the longest. */
+constexpr std::size_t smallFleet = 20;
+constexpr Milliseconds longestNewsInterval{500};
 /** Probes are started this often. */
 constexpr Milliseconds tickInterval{25};
 /** Requests that wait are looked at again this often, besides when a target gets room. */
 constexpr Milliseconds waitingInterval{10};
-/** A waiting watch is one call; long waits keep their number low. */
-constexpr Milliseconds watchTime{10'000};
+/** A waiting watch is one call; its end also shows that the store still answers. */
+constexpr Milliseconds watchTime{4000};
 /** Changes that come within this time are fetched together. */
-constexpr Milliseconds watchPause{60};
+constexpr Milliseconds watchPause{120};
 constexpr Milliseconds storeRetry{250};
-/** The store counts as lost after this time without an answer that was due. */
-constexpr Milliseconds storePatience{700};
-constexpr Milliseconds registrationTerm{12'000};
-/** Renewals also show whether the store answers. */
-constexpr Milliseconds renewalInterval{2500};
-constexpr Milliseconds peerCheck{300};
-/** The relay writes a verdict at once; if none is seen after this time the others do. */
+/** A host that does not read the store looks this often whether it is to begin. */
+constexpr Milliseconds readerCheck{100};
+/** All hosts start within this time; afterwards the first listing shows all of them. */
+constexpr Milliseconds startSpread{500};
+/** A host that has got no copy from a seed by then reads the store. */
+constexpr Milliseconds seedPatience{1200};
+constexpr Milliseconds seedRetry{200};
+/** Changes up to this size fit a datagram; longer ones are asked for. */
+constexpr std::size_t pushedBytes = 6000;
+/** The placing host writes a verdict at once; if none is seen after this time the others do. */
 constexpr Milliseconds verdictPatience{700};
 constexpr Milliseconds verdictRetry{1500};
 constexpr Milliseconds drainCheck{20};
@@ -57,7 +63,7 @@
                     std::optional<EdgeMessage> answer;
                     const auto *request = std::get_if<RegistryRequest>(&question);
                     if (request && m_registry.revision() > request->known)
-                        answer = m_registry.copy();
+                        answer = m_registry.deltaFrom(request->known, SteadyClock().now());
                     return answer;
                 })
     , m_prober(m_executor, &P::readProbe,
@@ -70,14 +76,15 @@
     , m_readiness(m_executor, m_settings.readiness,
                   [this](HttpCall call) { return answerReadiness(std::move(call)); })
     , m_storeAnsweredAt(SteadyClock().now())
+    , m_readers(m_self, m_settings.capacity)
 {
     if (m_settings.admin)
         m_admin.emplace(m_executor, *m_settings.admin,
                         [this](HttpCall call) { return answerAdmin(std::move(call)); });
     startTask(m_executor, "store", followStore());
-    startTask(m_executor, "registration", keepRegistered());
+    startTask(m_executor, "registration", registerOnce());
     startTask(m_executor, "news", tradeNews());
-    startTask(m_executor, "peers", followPeers());
+    startTask(m_executor, "first-copy", askFirstCopy());
     m_log.info("Started",
                {field("name", m_settings.name), field("zone", m_settings.zone),
                 field("callers", formatAddress(m_settings.callers)),
@@ -125,29 +132,30 @@
 template <EdgePlatform P>
 Task<> EdgeHost<P>::followStore()
 {
-    bool listed = false;
+    const TimePoint startedAt = SteadyClock().now();
+    const bool seeded = m_settings.firstStart && !m_settings.seeds.empty();
+    if (m_settings.firstStart)
+        co_await sleepFor(edge_detail::startSpread);
     while (true) {
+        const TimePoint now = SteadyClock().now();
+        const bool known = m_registry.table() != nullptr;
+        const bool patient = seeded && now - startedAt < edge_detail::seedPatience;
+        const bool reads = known ? m_readers.shouldRead(now) : !patient;
+        if (reads != m_reading)
+            m_log.info(reads ? "Reads the store" : "Leaves the store to other hosts",
+                       {field("revision", m_registry.revision())});
+        m_reading = reads;
+        if (!reads) {
+            co_await sleepFor(edge_detail::readerCheck);
+            continue;
+        }
         bool failed = false;
         try {
-            if (!listed) {
-                const StoreSnapshot snapshot = co_await m_watchStore.list("");
-                storeAnswered();
-                listed = true;
-                if (m_registry.applySnapshot(snapshot, SteadyClock().now()))
-                    registryChanged();
-            }
-            const StoreChanges changes = co_await m_watchStore.watch(
-                    "", m_registry.revision(), edge_detail::watchTime);
-            storeAnswered();
-            m_registry.applyChanges(changes, SteadyClock().now());
-            if (!changes.changes.empty()) {
-                registryChanged();
-                co_await sleepFor(edge_detail::watchPause);
-            }
+            co_await readStore();
         } catch (const HistoryGone &) {
             m_log.info("The store's history is gone; listing again",
                        {field("revision", m_registry.revision())});
-            listed = false;
+            m_mustList = true;
         } catch (const Error &error) {
             storeFailed(error.what());
             failed = true;
@@ -159,45 +167,85 @@
 }
 
 template <EdgePlatform P>
-Task<> EdgeHost<P>::keepRegistered()
+Task<> EdgeHost<P>::readStore()
 {
-    while (!m_leaving) {
-        try {
-            if (!m_lease)
-                co_await registerOnce();
-            else if (!co_await m_callStore.keepAlive(*m_lease))
-                m_lease.reset();
-            storeAnswered();
-            if (!m_lease)
-                continue;
-        } catch (const Error &error) {
-            storeFailed(error.what());
+    // Another host's copy is as good to watch on from as a listing.
+    if (m_mustList || m_registry.revision() == Revision(0)) {
+        const StoreSnapshot snapshot = co_await m_watchStore.list("");
+        storeAnswered();
+        m_mustList = false;
+        const Revision from = m_registry.revision();
+        if (m_registry.applySnapshot(snapshot, SteadyClock().now())) {
+            registryChanged();
+            if (from > Revision(0))
+                sendNotice();
         }
-        co_await sleepFor(edge_detail::renewalInterval);
     }
+    const StoreChanges changes =
+            co_await m_watchStore.watch("", m_registry.revision(), edge_detail::watchTime);
+    storeAnswered();
+    if (changes.changes.empty())
+        co_return;
+    const Revision from = m_registry.revision();
+    m_registry.applyChanges(changes, SteadyClock().now());
+    if (m_registry.revision() > from) {
+        registryChanged();
+        pushChanges(from);
+    }
+    co_await sleepFor(edge_detail::watchPause);
+}
+
+template <EdgePlatform P>
+void EdgeHost<P>::pushChanges(Revision from)
+{
+    const RegistryDelta delta = m_registry.deltaFrom(from, SteadyClock().now());
+    std::size_t bytes = 0;
+    for (const auto &entry : delta.entries)
+        bytes += entry.key.size() + entry.value.value_or("").size() + sizeof(Revision);
+    if (bytes <= edge_detail::pushedBytes)
+        m_peers.sendToAll(delta);
+    else
+        sendNotice();
+}
+
+template <EdgePlatform P>
+void EdgeHost<P>::sendNotice()
+{
+    m_peers.sendToAll(RegistryNotice{m_registry.revision(), !m_storeLost && !m_leaving});
 }
 
 template <EdgePlatform P>
 Task<> EdgeHost<P>::registerOnce()
 {
-    const LeaseId lease = co_await m_callStore.grantLease(edge_detail::registrationTerm);
-    const RegisteredHost host{m_self, m_settings.peer};
-    const StoreEntry entry = P::writeHost(m_settings.name, host);
-    const auto present = co_await m_callStore.get(entry.key);
-    std::vector<Swap> swaps;
-    swaps.push_back({entry.key, present ? present->modified : Revision(0), entry.value});
-    const SwapResult result = co_await m_callStore.compareAndSwap(std::move(swaps), lease);
-    if (!result.swapped)
-        throw StoreUnavailable("the host's own entry changed meanwhile");
-    m_lease = lease;
-    m_log.info("Registered", {field("revision", result.revision)});
+    while (true) {
+        std::string failure;
+        try {
+            const RegisteredHost host{m_self, m_settings.peer, m_settings.capacity};
+            const StoreEntry entry = P::writeHost(m_settings.name, host);
+            std::vector<Swap> swaps;
+            swaps.push_back({entry.key, Revision(0), entry.value});
+            SwapResult result = co_await m_callStore.compareAndSwap(swaps, noLease);
+            if (!result.swapped && result.present && result.present->value != entry.value) {
+                swaps.front().modified = result.present->modified;
+                result = co_await m_callStore.compareAndSwap(swaps, noLease);
+            }
+            m_log.info("Registered", {field("new", result.swapped)});
+            co_return;
+        } catch (const Error &error) {
+            failure = error.what();
+        }
+        m_log.warning("Not registered yet", {field("error", failure)});
+        co_await sleepFor(edge_detail::storeRetry * 4);
+    }
 }
 
 template <EdgePlatform P>
 void EdgeHost<P>::registryChanged()
 {
     const TimePoint now = SteadyClock().now();
-    m_peers.setHosts(m_registry.hosts(), m_self);
+    const auto hosts = m_registry.hosts();
+    m_peers.setHosts(hosts, m_settings.capacity);
+    m_readers.setHosts(hosts, now);
     m_placement.follow(m_registry, m_peers.hosts(), now);
     followOrders(now);
 }
@@ -220,7 +268,11 @@
         startProbes(woken);
         if (woken < nextNews)
             continue;
-        nextNews = woken + edge_detail::newsInterval;
+        nextNews = woken + newsInterval();
+        if (m_reading && woken >= m_nextNotice) {
+            m_nextNotice = woken + ReaderChoice::beat;
+            sendNotice();
+        }
         if (m_registry.expireLapsed(woken))
             registryChanged();
         m_relay.tick(woken);
@@ -234,7 +286,6 @@
                               TimePoint now)
 {
     HostNews news;
-    news.registry = m_registry.revision();
     for (const auto &service : services) {
         ServiceBalancer *balancer = m_placement.find(service);
         ServiceNews entry;
@@ -258,7 +309,7 @@
     for (const auto &[host, services] : byRelay) {
         const HostNews news = newsFor(services, host, now);
         if (host == m_self) {
-            takePicture(m_self, relay(m_self, news, now), now);
+            takePicture(relay(m_self, news, now), now);
             continue;
         }
         m_peers.asked(host, now);
@@ -270,7 +321,6 @@
 HostPicture EdgeHost<P>::relay(HostId from, const HostNews &news, TimePoint now)
 {
     HostPicture picture;
-    picture.registry = m_registry.revision();
     for (const auto &service : news.services)
     {
         std::vector<TargetNews> granted;
@@ -287,14 +337,14 @@
 {
     const TimePoint now = SteadyClock().now();
     if (const auto *news = std::get_if<HostNews>(&message)) {
-        if (news->registry > m_newest) {
-            m_newest = news->registry;
-            m_newestAt = header.sender;
-        }
         m_peers.send(header.sender, relay(header.sender, *news, now));
     } else if (const auto *picture = std::get_if<HostPicture>(&message)) {
         m_peers.heard(header.sender, now);
-        takePicture(header.sender, *picture, now);
+        takePicture(*picture, now);
+    } else if (const auto *notice = std::get_if<RegistryNotice>(&message)) {
+        takeNotice(header.sender, *notice, now);
+    } else if (const auto *delta = std::get_if<RegistryDelta>(&message)) {
+        takeDelta(header.sender, *delta, now);
     } else if (const auto *request = std::get_if<PlacementRequest>(&message)) {
         m_placement.take(header.sender, *request, now);
     } else if (const auto *answer = std::get_if<PlacementAnswer>(&message)) {
@@ -308,12 +358,8 @@
 }
 
 template <EdgePlatform P>
-void EdgeHost<P>::takePicture(HostId from, const HostPicture &picture, TimePoint now)
+void EdgeHost<P>::takePicture(const HostPicture &picture, TimePoint now)
 {
-    if (picture.registry > m_newest) {
-        m_newest = picture.registry;
-        m_newestAt = from;
-    }
     for (const auto &service : picture.services) {
         if (ServiceBalancer *balancer = m_placement.find(service.service))
             balancer->applyPicture(service.others, now);
@@ -323,45 +369,68 @@
 }
 
 template <EdgePlatform P>
-Task<> EdgeHost<P>::followPeers()
+Milliseconds EdgeHost<P>::newsInterval() const
 {
-    while (true) {
-        co_await sleepFor(edge_detail::peerCheck);
-        const TimePoint now = SteadyClock().now();
-        const bool away = m_storeLost && now - m_storeAnsweredAt > edge_detail::storePatience;
-        const bool unknown = !m_registry.table() && !m_settings.seeds.empty();
-        if (!away || (m_newest <= m_registry.revision() && !unknown))
-            continue;
-        HostId asked = m_newestAt;
-        Address address;
-        const auto known = m_peers.address(asked);
-        if (m_newest > m_registry.revision() && known) {
-            address = *known;
-        } else if (unknown) {
-            asked = anyHost;
-            address = m_settings.seeds[drawBelow(m_random, m_settings.seeds.size())];
-        } else {
-            continue;
-        }
-        try {
-            EdgeMessage question = RegistryRequest{m_registry.revision()};
-            const EdgeMessage answer = co_await m_streams.ask(asked, address, std::move(question));
-            const auto *copy = std::get_if<RegistryCopy>(&answer);
-            if (!copy)
-                continue;
-            StoreSnapshot snapshot;
-            snapshot.revision = copy->revision;
-            for (const auto &entry : copy->entries)
-                snapshot.entries.push_back({entry.key, entry.value, entry.modified});
-            if (m_registry.applySnapshot(snapshot, SteadyClock().now())) {
-                m_log.info("Registry taken from a host", {field("host", asked),
-                                                          field("revision", copy->revision)});
-                registryChanged();
-            }
-        } catch (const Error &error) {
-            m_log.info("A host did not give its registry", {field("host", asked),
-                                                            field("error", error.what())});
+    const auto factor = static_cast<std::int64_t>(m_peers.hosts() / edge_detail::smallFleet);
+    return std::min(edge_detail::longestNewsInterval,
+                    edge_detail::newsInterval * std::max<std::int64_t>(factor, 1));
+}
+
+template <EdgePlatform P>
+void EdgeHost<P>::takeNotice(HostId from, const RegistryNotice &notice, TimePoint now)
+{
+    m_readers.heard(from, notice.reads, now);
+    const auto address = m_peers.address(from);
+    if (notice.revision > m_registry.revision() && address && !m_pulling)
+        startTask(m_executor, "registry", pullRegistry(from, *address));
+}
+
+template <EdgePlatform P>
+void EdgeHost<P>::takeDelta(HostId from, const RegistryDelta &delta, TimePoint now)
+{
+    if (delta.revision <= m_registry.revision())
+        return;
+    if (m_registry.applyDelta(delta, now))
+        registryChanged();
+    else
+        takeNotice(from, {delta.revision, true}, now);
+}
+
+template <EdgePlatform P>
+Task<> EdgeHost<P>::pullRegistry(HostId host, Address address)
+{
+    m_pulling = true;
+    try {
+        EdgeMessage question = RegistryRequest{m_registry.revision()};
+        const EdgeMessage answer = co_await m_streams.ask(host, address, std::move(question));
+        const auto *delta = std::get_if<RegistryDelta>(&answer);
+        if (delta && delta->revision > m_registry.revision() &&
+            m_registry.applyDelta(*delta, SteadyClock().now())) {
+            m_log.info("Registry taken from a host", {field("address", formatAddress(address)),
+                                                      field("revision", delta->revision),
+                                                      field("entries", delta->entries.size())});
+            registryChanged();
         }
+    } catch (const Error &error) {
+        m_log.info("A host did not give its registry",
+                   {field("address", formatAddress(address)), field("error", error.what())});
+    }
+    m_pulling = false;
+}
+
+template <EdgePlatform P>
+Task<> EdgeHost<P>::askFirstCopy()
+{
+    if (m_settings.seeds.empty())
+        co_return;
+    if (m_settings.firstStart)
+        co_await sleepFor(edge_detail::startSpread);
+    co_await sleepFor(edge_detail::seedRetry);
+    while (!m_registry.table()) {
+        const auto seed = drawBelow(m_random, m_settings.seeds.size());
+        if (!m_pulling)
+            co_await pullRegistry(anyHost, m_settings.seeds[seed]);
+        co_await sleepFor(edge_detail::seedRetry);
     }
 }
 
@@ -502,13 +571,7 @@
 {
     const TimePoint toldAt = SteadyClock().now();
     m_gateway.discourage();
-    if (m_lease) {
-        try {
-            co_await m_callStore.revoke(*m_lease);
-        } catch (const Error &error) {
-            m_log.info("The registration ends by itself", {field("error", error.what())});
-        }
-    }
+    sendNotice(); // Another host reads the store from now on.
     const TimePoint leaveAt = toldAt + m_settings.leaveTime;
     if (SteadyClock().now() < leaveAt)
         co_await sleepFor(leaveAt - SteadyClock().now());
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -4,6 +4,7 @@
 #include "endivedock/edge/edge_peers.h"
 #include "endivedock/edge/edge_settings.h"
 #include "endivedock/edge/platform_concept.h"
+#include "endivedock/edge/reader_choice.h"
 #include "endivedock/edge/shared_placement.h"
 #include "endivedock/edge/target_prober.h"
 #include "endivedock/loadnews.h"
@@ -57,15 +58,20 @@
 
     // The tasks.
     Task<> followStore();
-    Task<> keepRegistered();
+    Task<> registerOnce();
     Task<> tradeNews();
-    Task<> followPeers();
+    Task<> askFirstCopy();
+    Task<> pullRegistry(HostId host, Address address);
     Task<> writeVerdict(ServiceId service, MoveState state);
     Task<> shutDown();
     Task<HttpResult> answerReadiness(HttpCall call);
     Task<HttpResult> answerAdmin(HttpCall call);
 
-    Task<> registerOnce();
+    Task<> readStore();
+    void pushChanges(Revision from);
+    void sendNotice();
+    void takeNotice(HostId from, const RegistryNotice &notice, TimePoint now);
+    void takeDelta(HostId from, const RegistryDelta &delta, TimePoint now);
     void storeAnswered();
     void storeFailed(const std::string &error);
     void registryChanged();
@@ -73,8 +79,9 @@
     void sendNews(TimePoint now);
     HostNews newsFor(const std::vector<ServiceId> &services, HostId placing, TimePoint now);
     HostPicture relay(HostId from, const HostNews &news, TimePoint now);
+    Milliseconds newsInterval() const;
     void take(const PeerHeader &header, const EdgeMessage &message);
-    void takePicture(HostId from, const HostPicture &picture, TimePoint now);
+    void takePicture(const HostPicture &picture, TimePoint now);
     void takeProgress(const ServiceId &service, const MoveProgress &progress);
     void settleMoves(TimePoint now);
     void startProbes(TimePoint now);
@@ -102,13 +109,16 @@
     Gateway m_gateway;
     HttpServer m_readiness;
     std::optional<HttpServer> m_admin;
-    std::optional<LeaseId> m_lease;
     /** When the store last answered, and whether it has failed since. */
     TimePoint m_storeAnsweredAt;
     bool m_storeLost = false;
-    /** The newest revision that another host has told of, and that host. */
-    Revision m_newest;
-    HostId m_newestAt;
+    ReaderChoice m_readers;
+    bool m_reading = false;
+    /** The store's history does not lead on from this copy. */
+    bool m_mustList = false;
+    /** A copy is being fetched from another host. */
+    bool m_pulling = false;
+    TimePoint m_nextNotice{};
     bool m_leaving = false;
     Log m_log{"host"};
 };
--- a/include/endivedock/edge/edge_message.h
+++ b/include/endivedock/edge/edge_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endivedock/edge/registry_messages.h"
 #include "endivedock/loadnews/messages.h"
 #include "endivedock/peers.h"
 #include "endivedock/placement/messages.h"
@@ -11,8 +12,8 @@
 
 /** Every message between edge hosts. New ones go to the end. */
 using EdgeMessage =
-        std::variant<HostNews, HostPicture, RegistryRequest, RegistryCopy, PlacementRequest,
-                     PlacementAnswer, AttemptReport, PlacementCancel>;
+        std::variant<HostNews, HostPicture, RegistryNotice, RegistryRequest, RegistryDelta,
+                     PlacementRequest, PlacementAnswer, AttemptReport, PlacementCancel>;
 
 /** The encoding of messages between edge hosts: cereal's portable binary form. */
 struct EdgeCodec
--- a/include/endivedock/edge/edge_peers.h
+++ b/include/endivedock/edge/edge_peers.h
@@ -22,11 +22,13 @@
     EdgePeers(asio::any_io_executor executor, const Address &local, HostId self,
               Incarnation incarnation, Sealer &sealer, Handler handler)
         : m_datagrams(std::move(executor), local, self, incarnation, sealer, std::move(handler))
+        , m_self(self)
         , m_choice(self)
     {
     }
 
-    void setHosts(const std::vector<RegisteredHost> &hosts, HostId self);
+    /** @param capacity  of this host */
+    void setHosts(const std::vector<RegisteredHost> &hosts, double capacity);
     /** @return the number of entry hosts, this one included */
     std::size_t hosts() const { return m_addresses.size() + 1; }
     std::optional<Address> address(HostId host) const;
@@ -35,6 +37,7 @@
     HostId placingHost(const ServiceId &service, TimePoint now) const;
     void unanswered(HostId host, TimePoint now);
     void send(HostId host, const EdgeMessage &message);
+    void sendToAll(const EdgeMessage &message);
 
     void asked(HostId host, TimePoint now) { m_choice.asked(host, now); }
     void heard(HostId host, TimePoint now) { m_choice.heard(host, now); }
@@ -42,6 +45,7 @@
 
 private:
     DatagramTransport<EdgeCodec> m_datagrams;
+    HostId m_self;
     RelayChoice m_choice;
     std::map<HostId, Address> m_addresses;
     Log m_log{"peers"};
--- a/include/endivedock/edge/edge_settings.h
+++ b/include/endivedock/edge/edge_settings.h
@@ -26,6 +26,10 @@
     /** Where other hosts may be, to begin with. */
     std::vector<Address> seeds;
     Address store;
+    /** The whole fleet starts for the first time, so that there is time to share the first copy. */
+    bool firstStart = false;
+    /** Processor share of the host. */
+    double capacity = 1;
     /** Key of the peer protocol, 32 bytes in hexadecimal. */
     std::string peerKey;
     BalancingSettings balancing;
--- /dev/null
+++ b/include/endivedock/edge/reader_choice.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "endivedock/core.h"
+#include "endivedock/edge/registry.h"
+
+#include <map>
+#include <vector>
+
+namespace endivedock {
+
+/**
+ * Which hosts read the platform's store, so that its load does not grow with the fleet: the first
+ * few in an order that all hosts share, the strongest first. Readers tell all others that they read;
+ * one that is not heard is passed over, and the next one begins.
+ */
+class ReaderChoice
+{
+public:
+    /** @param capacity  of this host, as it registers it */
+    ReaderChoice(HostId self, double capacity)
+        : m_self{self, capacity}
+    {
+    }
+
+    void setHosts(const std::vector<RegisteredHost> &hosts, TimePoint now);
+    /** @param reads  whether the sender can reach the store */
+    void heard(HostId host, bool reads, TimePoint now);
+    /** @return whether this host is to read */
+    bool shouldRead(TimePoint now) const;
+
+    /** Enough that a zone and single hosts may be lost at the same time. */
+    static constexpr std::size_t readers = 4;
+    /** Readers tell of themselves this often. */
+    static constexpr Milliseconds beat{500};
+    /** A reader that was not heard for this long is passed over. */
+    static constexpr Milliseconds patience{1300};
+
+private:
+    struct Rank
+    {
+        HostId id;
+        double capacity = 0;
+        bool before(const Rank &other) const;
+    };
+
+    Rank m_self;
+    std::vector<Rank> m_ahead;
+    /** When each host was last known to read; a new host is given the benefit of the doubt. */
+    std::map<HostId, TimePoint> m_readAt;
+};
+
+} // namespace endivedock
--- a/include/endivedock/edge/registry.h
+++ b/include/endivedock/edge/registry.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "endivedock/balancing.h"
+#include "endivedock/edge/registry_messages.h"
 #include "endivedock/core.h"
-#include "endivedock/loadnews.h"
 #include "endivedock/routes.h"
 #include "endivedock/store/store_concept.h"
 #include "endivedock/telemetry.h"
@@ -22,6 +22,8 @@
 {
     HostId id;
     Address peer;
+    /** Processor share, by which hosts that serve others are chosen. */
+    double capacity = 0;
 };
 
 struct ConfigurationFact
@@ -66,6 +68,14 @@
     /** Replaces all by a newer snapshot; an older one is ignored. @return whether it was taken */
     bool applySnapshot(const StoreSnapshot &snapshot, TimePoint now);
     void applyChanges(const StoreChanges &changes, TimePoint now);
+    /**
+     * Takes over what another host sent.
+     *
+     * @return false if changes between this copy and the delta are missing
+     */
+    bool applyDelta(const RegistryDelta &delta, TimePoint now);
+    /** @return what has changed after @p known, or all where that is not known any more */
+    RegistryDelta deltaFrom(Revision known, TimePoint now) const;
     /**
      * The store could be reached again. Entries of targets lapse while it is away and come back
      * soon after, so those that vanish now are kept for a while.
@@ -82,8 +92,6 @@
     std::optional<MoveOrder> order(const ServiceId &service) const;
     std::optional<MoveVerdict> verdict(const ServiceId &service) const;
     std::vector<RegisteredHost> hosts() const;
-    /** @return all entries, for another host */
-    RegistryCopy copy() const;
     /** @return the entry as stored, or null */
     const StoreEntry *find(const std::string &key) const;
 
@@ -100,7 +108,9 @@
     };
 
     void put(const StoreEntry &entry);
-    void drop(const std::string &key, TimePoint now);
+    void drop(const std::string &key, Revision at, TimePoint now);
+    /** Forgets the oldest removals. */
+    void boundRemovals();
     template <typename Fact>
     const Fact *findFact(const ServiceId &service) const;
 
@@ -108,6 +118,10 @@
     std::map<std::string, Item> m_items;
     std::shared_ptr<const RoutingTable> m_table;
     Revision m_revision;
+    /** Keys removed lately, by the revision of their removal, for hosts that ask for changes. */
+    std::map<Revision, std::string> m_removed;
+    /** Removals after this revision are all known. */
+    Revision m_removedSince;
     TimePoint m_returnedAt{};
     Log m_log{"registry"};
 };
--- /dev/null
+++ b/include/endivedock/edge/registry_codec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "endivedock/core/codec.h"
+#include "endivedock/edge/registry_messages.h"
+
+namespace endivedock {
+
+template <typename Archive>
+void serialize(Archive &archive, RegistryEntry &entry)
+{
+    archive(entry.key, entry.value, entry.modified);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RegistryNotice &notice)
+{
+    archive(notice.revision, notice.reads);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RegistryRequest &request)
+{
+    archive(request.known);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RegistryDelta &delta)
+{
+    archive(delta.from, delta.revision, delta.entries, delta.sinceReturn);
+}
+
+} // namespace endivedock
--- a/include/endivedock/loadnews/codec.h
+++ b/include/endivedock/loadnews/codec.h
@@ -27,7 +27,7 @@
 template <typename Archive>
 void serialize(Archive &archive, HostNews &news)
 {
-    archive(news.registry, news.services);
+    archive(news.services);
 }
 
 template <typename Archive>
@@ -39,25 +39,7 @@
 template <typename Archive>
 void serialize(Archive &archive, HostPicture &picture)
 {
-    archive(picture.registry, picture.services);
-}
-
-template <typename Archive>
-void serialize(Archive &archive, RegistryEntry &entry)
-{
-    archive(entry.key, entry.value, entry.modified);
-}
-
-template <typename Archive>
-void serialize(Archive &archive, RegistryRequest &request)
-{
-    archive(request.known);
-}
-
-template <typename Archive>
-void serialize(Archive &archive, RegistryCopy &copy)
-{
-    archive(copy.revision, copy.entries);
+    archive(picture.services);
 }
 
 } // namespace endivedock
--- a/include/endivedock/loadnews/messages.h
+++ b/include/endivedock/loadnews/messages.h
@@ -5,7 +5,6 @@
 #include "endivedock/moves.h"
 
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace endivedock {
@@ -21,11 +20,9 @@
     std::optional<MoveProgress> move;
 };
 
-/** Sent to a relay about 20 times a second. */
+/** Sent to the placing hosts several times a second. */
 struct HostNews
 {
-    /** Newest revision of the platform's store that the sender has taken over. */
-    Revision registry;
     std::vector<ServiceNews> services;
 };
 
@@ -37,31 +34,10 @@
     std::optional<MoveProgress> move;
 };
 
-/** The relay's reply to HostNews. */
+/** The placing host's reply to HostNews. */
 struct HostPicture
 {
-    Revision registry;
     std::vector<ServicePicture> services;
 };
 
-/** One key of the platform's store, as hosts hand it on. */
-struct RegistryEntry
-{
-    std::string key;
-    std::string value;
-    Revision modified;
-};
-
-/** Asks for a newer copy of what the platform's store holds, while the store cannot be reached. */
-struct RegistryRequest
-{
-    Revision known;
-};
-
-struct RegistryCopy
-{
-    Revision revision;
-    std::vector<RegistryEntry> entries;
-};
-
 } // namespace endivedock
--- a/include/endivedock/loadnews/relay_choice.h
+++ b/include/endivedock/loadnews/relay_choice.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace endivedock {
@@ -20,8 +21,12 @@
     {
     }
 
-    /** @param hosts  all entry hosts that are known; this one is always a candidate */
-    void setHosts(const std::vector<HostId> &hosts);
+    /**
+     * @param hosts   all other entry hosts that are known
+     * @param strong  those of them that are to place, if they answer; this host is always a last
+     *                resort
+     */
+    void setHosts(const std::vector<HostId> &hosts, const std::set<HostId> &strong);
     HostId relayFor(const ServiceId &service, TimePoint now) const;
     void asked(HostId host, TimePoint now);
     void heard(HostId host, TimePoint now);
@@ -43,7 +48,10 @@
     bool silent(HostId host, TimePoint now) const;
 
     HostId m_self;
+    std::optional<HostId> firstOf(const ServiceId &service, bool strong, TimePoint now) const;
+
     std::vector<HostId> m_hosts;
+    std::set<HostId> m_strong;
     std::map<HostId, Contact> m_contacts;
 };
 
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -1,18 +1,42 @@
 #include "endivedock/edge/edge_peers.h"
 
+#include <algorithm>
+#include <set>
+
 namespace endivedock {
 
-void EdgePeers::setHosts(const std::vector<RegisteredHost> &hosts, HostId self)
+namespace {
+
+/** Hosts with at least this part of the strongest one's processor share place for the others. */
+constexpr double strongPart = 0.6;
+
+} // namespace
+
+void EdgePeers::setHosts(const std::vector<RegisteredHost> &hosts, double capacity)
 {
     m_addresses.clear();
     std::vector<HostId> ids;
+    double strongest = capacity;
+    for (const auto &host : hosts)
+        strongest = std::max(strongest, host.capacity);
+    std::set<HostId> strong;
+    if (capacity >= strongest * strongPart)
+        strong.insert(m_self);
     for (const auto &host : hosts) {
-        if (host.id == self)
+        if (host.id == m_self)
             continue;
         m_addresses[host.id] = host.peer;
         ids.push_back(host.id);
+        if (host.capacity >= strongest * strongPart)
+            strong.insert(host.id);
     }
-    m_choice.setHosts(ids);
+    m_choice.setHosts(ids, strong);
+}
+
+void EdgePeers::sendToAll(const EdgeMessage &message)
+{
+    for (const auto &[host, address] : m_addresses)
+        m_datagrams.send(host, address, message);
 }
 
 std::optional<Address> EdgePeers::address(HostId host) const
--- a/src/edge/registry.cpp
+++ b/src/edge/registry.cpp
@@ -43,8 +43,10 @@
     m_items[entry.key] = {entry, std::move(fact), std::nullopt};
 }
 
-void Registry::drop(const std::string &key, TimePoint now)
+void Registry::drop(const std::string &key, Revision at, TimePoint now)
 {
+    m_removed[at] = key;
+    boundRemovals();
     const auto found = m_items.find(key);
     if (found == m_items.end())
         return;
@@ -62,6 +64,9 @@
 {
     if (snapshot.revision < m_revision)
         return false;
+    // What was removed before the snapshot is not told, so a host that is behind needs all of it.
+    m_removed.clear();
+    m_removedSince = snapshot.revision;
     std::set<std::string> present;
     for (const auto &entry : snapshot.entries) {
         present.insert(entry.key);
@@ -73,7 +78,8 @@
             missing.push_back(key);
     }
     for (const auto &key : missing)
-        drop(key, now);
+        drop(key, snapshot.revision, now);
+    m_removed.clear();
     m_revision = snapshot.revision;
     return true;
 }
@@ -86,7 +92,7 @@
         if (change.value)
             put({change.key, *change.value, change.modified});
         else
-            drop(change.key, now);
+            drop(change.key, change.modified, now);
     }
     m_revision = std::max(m_revision, changes.revision);
 }
@@ -166,15 +172,56 @@
     return result;
 }
 
-RegistryCopy Registry::copy() const
+void Registry::boundRemovals()
 {
-    RegistryCopy result;
-    result.revision = m_revision;
+    constexpr std::size_t mostRemovals = 2000;
+    while (m_removed.size() > mostRemovals) {
+        m_removedSince = m_removed.begin()->first;
+        m_removed.erase(m_removed.begin());
+    }
+}
+
+bool Registry::applyDelta(const RegistryDelta &delta, TimePoint now)
+{
+    if (delta.revision <= m_revision)
+        return true;
+    if (delta.sinceReturn)
+        storeReturned(std::max(m_returnedAt, now - *delta.sinceReturn));
+    if (delta.from == Revision(0)) {
+        StoreSnapshot snapshot;
+        snapshot.revision = delta.revision;
+        for (const auto &entry : delta.entries) {
+            if (entry.value)
+                snapshot.entries.push_back({entry.key, *entry.value, entry.modified});
+        }
+        return applySnapshot(snapshot, now);
+    }
+    if (delta.from > m_revision)
+        return false;
+    StoreChanges changes;
+    changes.revision = delta.revision;
+    for (const auto &entry : delta.entries)
+        changes.changes.push_back({entry.key, entry.value, entry.modified});
+    applyChanges(changes, now);
+    return true;
+}
+
+RegistryDelta Registry::deltaFrom(Revision known, TimePoint now) const
+{
+    RegistryDelta delta;
+    const bool continued = known > Revision(0) && known >= m_removedSince;
+    delta.from = continued ? known : Revision(0);
+    delta.revision = m_revision;
     for (const auto &[key, item] : m_items) {
-        if (!item.lapsedUntil)
-            result.entries.push_back({key, item.entry.value, item.entry.modified});
+        if (!item.lapsedUntil && (!continued || item.entry.modified > known))
+            delta.entries.push_back({key, item.entry.value, item.entry.modified});
     }
-    return result;
+    for (auto removed = m_removed.upper_bound(known); continued && removed != m_removed.end();
+         ++removed)
+        delta.entries.push_back({removed->second, std::nullopt, removed->first});
+    if (now - m_returnedAt < lapsedGrace)
+        delta.sinceReturn = toMilliseconds(now - m_returnedAt);
+    return delta;
 }
 
 const StoreEntry *Registry::find(const std::string &key) const
--- a/src/loadnews/relay_choice.cpp
+++ b/src/loadnews/relay_choice.cpp
@@ -6,11 +6,11 @@
 
 namespace endivedock {
 
-void RelayChoice::setHosts(const std::vector<HostId> &hosts)
+void RelayChoice::setHosts(const std::vector<HostId> &hosts, const std::set<HostId> &strong)
 {
     m_hosts = hosts;
-    if (std::find(m_hosts.begin(), m_hosts.end(), m_self) == m_hosts.end())
-        m_hosts.push_back(m_self);
+    m_hosts.push_back(m_self);
+    m_strong = strong;
     std::erase_if(m_contacts, [this](const auto &item) {
         return std::find(m_hosts.begin(), m_hosts.end(), item.first) == m_hosts.end();
     });
@@ -26,16 +26,24 @@
 
 HostId RelayChoice::relayFor(const ServiceId &service, TimePoint now) const
 {
-    HostId chosen = m_self;
+    if (const auto strong = firstOf(service, true, now))
+        return *strong;
+    return firstOf(service, false, now).value_or(m_self);
+}
+
+std::optional<HostId> RelayChoice::firstOf(const ServiceId &service, bool strong,
+                                           TimePoint now) const
+{
+    std::optional<HostId> chosen;
     std::uint64_t highest = 0;
-    bool any = false;
     for (const auto &host : m_hosts) {
+        if (strong && !m_strong.contains(host))
+            continue;
         if (host != m_self && silent(host, now))
             continue;
         const std::string &name = service.value();
         const std::uint64_t weight = XXH3_64bits_withSeed(name.data(), name.size(), host.value());
-        if (!any || weight > highest) {
-            any = true;
+        if (!chosen || weight > highest) {
             highest = weight;
             chosen = host;
         }
