balancing: zones, idle connections and a bound on questions count in the choice; short news

Cause: on the grown site every request opened a connection (26,918 for 21,917 requests), pictures of 6 KB went to each host ten times a second (0.25 of 0.55 GB between zones) and one host asked 11,000 health questions a second.

--- a/include/endivedock/balancing/balancing_settings.h
+++ b/include/endivedock/balancing/balancing_settings.h
@@ -28,6 +28,11 @@
     double crowding = 1.6;
     /** What another zone costs, as time: two ways of about 1 ms. */
     Microseconds zonePenalty{2000};
+    /** And each KB that goes there: platforms charge for traffic between zones. */
+    Microseconds zonePenaltyPerKb{400};
+    /** What a new connection costs, as part of the usual work: targets bear only so many, and each
+     * holds a slot for its handshake. */
+    double connectPenalty = 0.2;
     /** Counts of other hosts are used up to this age. */
     Milliseconds pictureAge{1000};
     /** With a request in flight and no answer for longer than this, a target may have stopped. */
@@ -38,6 +43,8 @@
     Milliseconds probeInterval{250};
     /** The placing host asks a target whose load report is older than this. */
     Milliseconds reportAge{70};
+    /** Questions for loads that one placing host asks for one service. */
+    PerSecond reportRate{800};
     Milliseconds connectTimeout{200};
 };
 
--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -16,7 +16,7 @@
 namespace endivedock {
 
 /** Hash of a target's id and life, short enough for messages between hosts. */
-using TargetKey = StrongId<struct TargetKeyTag, std::uint64_t>;
+using TargetKey = StrongId<struct TargetKeyTag, std::uint32_t>;
 
 TargetKey targetKey(const RegisteredTarget &target);
 
@@ -137,10 +137,10 @@
     /** @param probe  absent if the target did not answer */
     void probed(const TargetId &target, const std::optional<TargetProbe> &probe, TimePoint now);
 
-    /** @return what @p placing does not know of: slowdowns, and requests that it has not placed */
+    /** @return what @p placing does not know of: requests of this host that it has not placed */
     std::vector<TargetNews> news(HostId placing, TimePoint now) const;
-    /** @return requests that this host has granted, but for those to @p except */
-    std::vector<TargetNews> granted(HostId except) const;
+    /** @return slowdowns, and requests that this host has granted, but for those to @p except */
+    std::vector<TargetNews> granted(HostId except, TimePoint now) const;
     /** @param others  sums over all other hosts; targets that are left out have none */
     void applyPicture(std::span<const TargetNews> others, TimePoint now);
     /** @return the answers of a running move since the last call */
@@ -185,6 +185,7 @@
         double leastWork = 0;
         bool any = false;
     };
+    double penalty(const PlacementRequest &request, const RegisteredTarget &entry) const;
     enum class Manner {
         /** Only targets with room, as the placing host. */
         Central,
@@ -232,6 +233,7 @@
                          const Candidate &chosen, TimePoint now);
     void takeOutcome(TargetState &target, const Grant &grant, const AttemptReport &report,
                      TimePoint now);
+    TargetNews newsOf(const TargetState &target, int inFlight, TimePoint now) const;
     void expireGrants(TimePoint now);
     void refreshBaseline(TimePoint now);
 
@@ -260,6 +262,9 @@
     /** Mean of what the targets reported lately. */
     double m_usualSlowdown = 1;
     TimePoint m_baselineAt{};
+    /** Questions for loads that may be asked now, and when that was worked out. */
+    double m_reportTokens = 0;
+    TimePoint m_reportTokensAt{};
     /** When a request was placed last; nobody needs the loads of an idle service. */
     TimePoint m_placedAt{};
     BalancerCounters m_counters;
--- a/include/endivedock/core/address.h
+++ b/include/endivedock/core/address.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/core/errors.h"
+#include "endivedock/core/ids.h"
 
 #include <compare>
 #include <cstdint>
@@ -31,6 +32,10 @@
  */
 Address parseAddress(std::string_view text);
 
+/** Hash of an address, short enough for messages; equal hashes only cost a wrong guess. */
+using AddressKey = StrongId<struct AddressKeyTag, std::uint32_t>;
+AddressKey addressKey(const Address &address);
+
 /** @return the form that parseAddress reads */
 std::string formatAddress(const Address &address);
 
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -326,7 +326,7 @@
         std::vector<TargetNews> granted;
         ServiceBalancer *balancer = m_placement.find(service.service);
         if (balancer != nullptr && from != m_self)
-            granted = balancer->granted(from);
+            granted = balancer->granted(from, now);
         picture.services.push_back(m_relay.exchange(from, service, granted, now));
     }
     return picture;
--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -61,6 +61,7 @@
     ServiceBalancer *balancer = find(request.service);
     if (balancer == nullptr)
         co_return Refusal{RefusalReason::NoTarget, RunCertainty::NotRun};
+    request.zone = m_settings.zone;
     const TimePoint now = SteadyClock().now();
     const HostId placing = m_link.placingHost(request.service, now);
     Pending pending(m_executor);
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -383,6 +383,8 @@
     result.remaining = toMilliseconds(request.plan.deadline - SteadyClock().now());
     result.fingerprint = request.fingerprint;
     result.exclude = request.tried;
+    result.body = Bytes(request.head.framing.length.value_or(request.bodyStart.size()));
+    result.connected = m_pool.connected();
     if (request.plan.objective.count() > 0)
         result.objective = request.plan.objective -
                            toMilliseconds(SteadyClock().now() - request.arrivedAt);
--- a/include/endivedock/gateway/target_pool.h
+++ b/include/endivedock/gateway/target_pool.h
@@ -57,6 +57,8 @@
                                    TimePoint deadline);
 
     Connections open(const Address &target) const;
+    /** @return targets to which a connection is idle */
+    std::vector<AddressKey> connected() const;
 
 private:
     friend class PooledConnection;
--- a/include/endivedock/loadnews/codec.h
+++ b/include/endivedock/loadnews/codec.h
@@ -4,12 +4,24 @@
 #include "endivedock/loadnews/messages.h"
 #include "endivedock/moves/codec.h"
 
+#include <algorithm>
+
 namespace endivedock {
 
+// Ages are short, and there is one for each of hundreds of targets.
+template <typename Archive>
+void save(Archive &archive, const TargetNews &news)
+{
+    const auto age = static_cast<std::uint16_t>(std::min<std::int64_t>(news.age.count(), 65'535));
+    archive(news.target, news.inFlight, news.slowdown, age);
+}
+
 template <typename Archive>
-void serialize(Archive &archive, TargetNews &news)
+void load(Archive &archive, TargetNews &news)
 {
-    archive(news.target, news.inFlight, news.slowdown, news.age);
+    std::uint16_t age = 0;
+    archive(news.target, news.inFlight, news.slowdown, age);
+    news.age = Milliseconds(age);
 }
 
 template <typename Archive>
--- a/include/endivedock/placement/codec.h
+++ b/include/endivedock/placement/codec.h
@@ -16,7 +16,7 @@
 {
     archive(request.attempt, request.service, request.sending, request.route, request.priority,
             request.retry, request.remaining, request.fingerprint, request.exclude,
-            request.objective);
+            request.objective, request.zone, request.body, request.connected);
 }
 
 template <typename Archive>
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -37,6 +37,12 @@
     std::vector<TargetId> exclude;
     /** Time from arrival within which an answer is worth most to the caller. */
     Milliseconds objective{0};
+    /** Zone of the asking host; empty if it does not matter. */
+    ZoneId zone;
+    /** Bytes that go to the target, as far as known. */
+    Bytes body{0};
+    /** Addresses to which the asking host has an idle connection. */
+    std::vector<AddressKey> connected;
 };
 
 /** The right to send the attempt to a target. */
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -17,7 +17,7 @@
 /** A cold target works about this many times slower. */
 constexpr double coldFactor = 2.0;
 /** Targets whose expected finish is within this factor of the best count as equal. */
-constexpr double equalFinish = 1.15;
+constexpr double equalFinish = 1.04;
 /** Requests that wait for targets of one service at the same time. */
 constexpr std::size_t mostWaiting = 400;
 /** Below this share a new version's requests go to as few targets as can take them. */
@@ -26,6 +26,8 @@
 constexpr int mostPassedOver = 8;
 /** Waiting for a fast target must promise at least this much; both times are estimates. */
 constexpr double waitingGain = 1.5;
+/** Questions for loads that were not asked are made up for within this time, in seconds. */
+constexpr double mostTokenSeconds = 0.05;
 /** Loads are asked for as long as requests have come within this time. */
 constexpr Milliseconds busyTime{1500};
 /** A grant to another host is held for this long after its request's deadline. */
@@ -61,8 +63,9 @@
 TargetKey targetKey(const RegisteredTarget &target)
 {
     const std::string &id = target.id.value();
-    return TargetKey(XXH3_64bits_withSeed(id.data(), id.size(),
-                                          static_cast<XXH64_hash_t>(target.startedAt.value_or(0))));
+    const auto life = static_cast<XXH64_hash_t>(target.startedAt.value_or(0));
+    const XXH64_hash_t hash = XXH3_64bits_withSeed(id.data(), id.size(), life);
+    return TargetKey(static_cast<std::uint32_t>(hash));
 }
 
 ServiceBalancer::ServiceBalancer(ServiceId service, HostId self, const BalancingSettings &settings,
@@ -202,6 +205,22 @@
     return target.cold(now) ? work * coldFactor : work;
 }
 
+double ServiceBalancer::penalty(const PlacementRequest &request,
+                                const RegisteredTarget &entry) const
+{
+    double result = 0;
+    if (entry.zone != request.zone) {
+        const double kilobytes = static_cast<double>(request.body.value()) / 1024;
+        result += static_cast<double>(m_settings.zonePenalty.count()) +
+                  kilobytes * static_cast<double>(m_settings.zonePenaltyPerKb.count());
+    }
+    const auto &connected = request.connected;
+    const AddressKey key = addressKey(entry.address);
+    if (std::find(connected.begin(), connected.end(), key) == connected.end())
+        result += m_settings.connectPenalty * static_cast<double>(usualTime().count());
+    return result;
+}
+
 ServiceBalancer::Survey ServiceBalancer::survey(const PlacementRequest &request, MoveSide side,
                                                 Manner manner, TimePoint now)
 {
@@ -233,8 +252,7 @@
         if (inFlight >= room)
             work *= m_settings.crowding;
         double finish = work + std::max(0, inFlight + 1 - slots) * work / slots;
-        if (target.registered().zone != m_settings.zone)
-            finish += static_cast<double>(m_settings.zonePenalty.count());
+        finish += penalty(request, target.registered());
         result.candidates.push_back(
                 {&target, finish, inFlight, static_cast<double>(inFlight) / slots});
     }
@@ -617,24 +635,39 @@
 std::vector<ProbeTarget> ServiceBalancer::dueProbes(bool placing, TimePoint now)
 {
     std::vector<ProbeTarget> result;
+    std::vector<std::pair<TimePoint, TargetState *>> unknownLoads;
     const bool busy = placing && now - m_placedAt < busyTime;
     for (auto &[id, target] : m_targets) {
         const RegisteredTarget &entry = target.registered();
         if (entry.draining || m_zonesOut.contains(entry.zone))
             continue;
-        const bool unknownLoad = busy && now - target.slowdown().at > m_settings.reportAge;
-        Milliseconds interval = m_settings.reportAge;
-        if (target.unverified())
-            interval = m_settings.probeInterval;
-        else if (target.cold(now) && !busy)
-            interval = m_settings.probeInterval * 4; // It tells how long it stays cold.
-        else if (!unknownLoad)
+        const bool doubtful = target.unverified() || target.cold(now);
+        // A cold target tells how long it stays cold; an absent one whether it is back.
+        const Milliseconds interval =
+                target.unverified() ? m_settings.probeInterval : m_settings.probeInterval * 4;
+        if (doubtful && target.takeProbe(now, interval)) {
+            result.push_back({id, entry.address});
             continue;
-        if (!target.takeProbe(now, interval))
+        }
+        const TimePoint reportedAt = target.slowdown().at;
+        if (busy && !target.unverified() && now - reportedAt > m_settings.reportAge)
+            unknownLoads.emplace_back(reportedAt, &target);
+    }
+    const std::chrono::duration<double> passed = now - m_reportTokensAt;
+    m_reportTokensAt = now;
+    const double most = m_settings.reportRate.value() * mostTokenSeconds;
+    m_reportTokens =
+            std::min(most, m_reportTokens + passed.count() * m_settings.reportRate.value());
+    std::sort(unknownLoads.begin(), unknownLoads.end());
+    for (const auto &[reportedAt, target] : unknownLoads) {
+        if (m_reportTokens < 1)
+            break;
+        if (!target->takeProbe(now, m_settings.reportAge))
             continue;
-        ++m_counters.probes;
-        result.push_back({id, entry.address});
+        m_reportTokens -= 1;
+        result.push_back({target->registered().id, target->registered().address});
     }
+    m_counters.probes += result.size();
     return result;
 }
 
@@ -672,26 +705,29 @@
             ++unknown[grant.target];
     }
     std::vector<TargetNews> result;
-    for (const auto &[id, target] : m_targets) {
-        const SlowdownReport &report = target.slowdown();
-        const Milliseconds age = toMilliseconds(now - report.at);
-        const bool known = report.at != TimePoint{} && age < m_settings.burst * 4;
-        const auto count = unknown.find(id);
-        if (count == unknown.end() && !known)
-            continue;
-        TargetNews entry;
-        entry.target = targetKey(target.registered());
-        entry.inFlight = static_cast<std::uint16_t>(count == unknown.end() ? 0 : count->second);
-        entry.slowdown =
-                known ? static_cast<std::uint16_t>(std::clamp(report.slowdown * 100, 1.0, 60'000.0))
-                      : 0;
-        entry.age = known ? age : Milliseconds(0);
-        result.push_back(entry);
+    for (const auto &[id, count] : unknown) {
+        const auto target = m_targets.find(id);
+        if (target != m_targets.end())
+            result.push_back(newsOf(target->second, count, now));
     }
     return result;
 }
 
-std::vector<TargetNews> ServiceBalancer::granted(HostId except) const
+TargetNews ServiceBalancer::newsOf(const TargetState &target, int inFlight, TimePoint now) const
+{
+    TargetNews entry;
+    entry.target = targetKey(target.registered());
+    entry.inFlight = static_cast<std::uint16_t>(inFlight);
+    const SlowdownReport &report = target.slowdown();
+    const Milliseconds age = toMilliseconds(now - report.at);
+    if (report.at == TimePoint{} || age > m_settings.burst * 4)
+        return entry;
+    entry.slowdown = static_cast<std::uint16_t>(std::clamp(report.slowdown * 100, 1.0, 60'000.0));
+    entry.age = age;
+    return entry;
+}
+
+std::vector<TargetNews> ServiceBalancer::granted(HostId except, TimePoint now) const
 {
     std::map<TargetId, int> counts;
     for (const auto &[id, grant] : m_grants) {
@@ -699,14 +735,11 @@
             ++counts[grant.target];
     }
     std::vector<TargetNews> result;
-    for (const auto &[id, count] : counts) {
-        const auto target = m_targets.find(id);
-        if (target == m_targets.end())
-            continue;
-        TargetNews entry;
-        entry.target = targetKey(target->second.registered());
-        entry.inFlight = static_cast<std::uint16_t>(count);
-        result.push_back(entry);
+    for (const auto &[id, target] : m_targets) {
+        const auto count = counts.find(id);
+        const TargetNews entry = newsOf(target, count == counts.end() ? 0 : count->second, now);
+        if (entry.inFlight > 0 || entry.slowdown > 0)
+            result.push_back(entry);
     }
     return result;
 }
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -8,6 +8,11 @@
 
 /** A target closes by its own clock; this much earlier its connection is not used any more. */
 constexpr Milliseconds idleMargin{500};
+/** Idle connections are told of for this long where the target did not say how long it keeps them.
+ */
+constexpr Milliseconds hintedIdle{5000};
+/** Idle connections that a placement request tells of at most. */
+constexpr std::size_t mostHints = 64;
 
 } // namespace
 
@@ -60,4 +65,19 @@
     return Connections(found == m_pools.end() ? 0 : found->second.open);
 }
 
+std::vector<AddressKey> TargetPool::connected() const
+{
+    std::vector<AddressKey> result;
+    const TimePoint now = SteadyClock().now();
+    for (const auto &[address, pool] : m_pools) {
+        if (pool.idle.empty())
+            continue;
+        const Idle &newest = pool.idle.back();
+        const Milliseconds kept = newest.connection->keptIdle().value_or(hintedIdle);
+        if (now - newest.since + idleMargin < kept && result.size() < mostHints)
+            result.push_back(addressKey(address));
+    }
+    return result;
+}
+
 } // namespace endivedock
