edge: seeds list at once on the first start, so that the others can ask them

Cause: all hosts listed after 1.2 s, since no seed had a copy by then. Change: a host that is itself a seed does not wait.

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -133,7 +133,8 @@
 Task<> EdgeHost<P>::followStore()
 {
     const TimePoint startedAt = SteadyClock().now();
-    const bool seeded = m_settings.firstStart && !m_settings.seeds.empty();
+    const bool seeded =
+            m_settings.firstStart && !m_settings.seeds.empty() && !m_settings.isSeed;
     if (m_settings.firstStart)
         co_await sleepFor(edge_detail::startSpread);
     while (true) {
--- a/include/endivedock/edge/edge_settings.h
+++ b/include/endivedock/edge/edge_settings.h
@@ -26,6 +26,8 @@
     /** Where other hosts may be, to begin with. */
     std::vector<Address> seeds;
     Address store;
+    /** Other hosts begin with a copy from this one. */
+    bool isSeed = false;
     /** The whole fleet starts for the first time, so that there is time to share the first copy. */
     bool firstStart = false;
     /** Processor share of the host. */
