--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -273,9 +273,12 @@
 Task<> GatewayServer<F, P, R>::exchange(SessionPtr session, RequestPtr request)
 {
     bool broken = false;
+    std::optional<Refusal> malformed;
     try {
         Result result = co_await runClaimed(session, request);
         co_await answer(session, request, std::move(result));
+    } catch (const CallerRequestError &error) {
+        malformed = error.refusal();
     } catch (const CallerError &error) {
         broken = true;
         m_log.info("Caller gone", {field("request", request->plan.callerId),
@@ -285,6 +288,11 @@
                                                              .count()),
                                    field("error", error.what())});
     }
+    if (malformed) {
+        request->terms.keepAlive = false;
+        session->closing = true;
+        co_await refuse(session, request, *malformed);
+    }
     if (broken && !session->callerGone) {
         session->closing = true;
         session->caller.abort();
--- /dev/null
+++ b/tests/balancing/balancing_test.cpp
@@ -0,0 +1,452 @@
+#include "endivedock/balancing.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <numeric>
+
+using namespace endivedock;
+
+namespace {
+
+const ServiceId service("quotes");
+const HostId self(1);
+
+RegisteredTarget makeTarget(int number, const std::string &zone = "a",
+                            const std::string &version = "v1")
+{
+    RegisteredTarget target;
+    target.id = TargetId("t" + std::to_string(number));
+    target.service = service;
+    target.address = {"10.0.0." + std::to_string(number), 80};
+    target.zone = ZoneId(zone);
+    target.version = VersionId(version);
+    target.slots = Slots(4);
+    return target;
+}
+
+std::vector<RegisteredTarget> makeTargets(int count)
+{
+    std::vector<RegisteredTarget> result;
+    for (int i = 1; i <= count; ++i)
+        result.push_back(makeTarget(i));
+    return result;
+}
+
+PlacementRequest makeRequest(std::uint64_t number, HostId host = self)
+{
+    PlacementRequest request;
+    request.attempt = {host, RequestId(number), 1};
+    request.service = service;
+    request.remaining = Milliseconds(1000);
+    request.objective = Milliseconds(300);
+    request.fingerprint = Fingerprint(number);
+    request.zone = ZoneId("a");
+    return request;
+}
+
+AttemptReport makeReport(const BalancedChoice &choice, AttemptOutcome outcome,
+                         Milliseconds time = Milliseconds(60))
+{
+    AttemptReport report;
+    report.service = service;
+    report.grant = choice.grant;
+    report.target = choice.target.id;
+    report.outcome = outcome;
+    report.time = time;
+    report.load = ReportedLoad{Slots(1), Slots(0), Slots(4), 1.0};
+    return report;
+}
+
+ServiceRules coldRules(double rate)
+{
+    ServiceRules rules;
+    rules.id = service;
+    rules.warmup = Milliseconds(3000);
+    rules.warmupRate = PerSecond(rate);
+    return rules;
+}
+
+} // namespace
+
+class BalancingTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BalancingTest);
+    CPPUNIT_TEST(fillsTargetsToFourFifthsThenWaits);
+    CPPUNIT_TEST(waitingRequestsFollowTheirPriority);
+    CPPUNIT_TEST(hopelessRequestsAreRefusedAtOnce);
+    CPPUNIT_TEST(slowTargetsAreKnownAgainWhenFast);
+    CPPUNIT_TEST(drainingAndEvacuatedTargetsGetNothing);
+    CPPUNIT_TEST(coldTargetsGetTheirRateOverAllHosts);
+    CPPUNIT_TEST(retriesOfAllHostsStayInTheBudget);
+    CPPUNIT_TEST(silentTargetsArePassedOver);
+    CPPUNIT_TEST(failingTargetsArePassedOver);
+    CPPUNIT_TEST(adoptRefusesWhatThisHostKnowsBetter);
+    CPPUNIT_TEST(pictureAddsWhatOthersHave);
+    CPPUNIT_TEST(ownZoneAndOpenConnectionsAreChosenFirst);
+    CPPUNIT_TEST(newVersionsWaitForAnOrder);
+    CPPUNIT_TEST(firstRequestsOfANewVersionArePacked);
+    CPPUNIT_TEST(expiredGrantsOfOtherHostsFreeTheirPlace);
+    CPPUNIT_TEST(centralQueueServesABurst);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { m_balancer.setTargets(makeTargets(2), m_now); }
+
+    void fillsTargetsToFourFifthsThenWaits()
+    {
+        const auto choices = place(6);
+        for (const auto &choice : choices)
+            CPPUNIT_ASSERT(choice.inFlight < Slots(3));
+        CPPUNIT_ASSERT(!m_balancer.place(makeRequest(7), m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_balancer.waiting());
+        m_now += Milliseconds(60);
+        m_balancer.finish(makeReport(choices.front(), AttemptOutcome::Answered), m_now);
+        const auto decisions = m_balancer.dispatch(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.size());
+        CPPUNIT_ASSERT(std::holds_alternative<BalancedChoice>(decisions[0].outcome));
+    }
+
+    void waitingRequestsFollowTheirPriority()
+    {
+        const auto choices = place(6);
+        PlacementRequest plain = makeRequest(7);
+        PlacementRequest urgent = makeRequest(8);
+        urgent.priority = 2;
+        m_balancer.place(plain, m_now);
+        m_balancer.place(urgent, m_now);
+        m_balancer.finish(makeReport(choices.front(), AttemptOutcome::Answered), m_now);
+        const auto decisions = m_balancer.dispatch(m_now);
+        CPPUNIT_ASSERT(decisions.at(0).request.attempt == urgent.attempt);
+    }
+
+    /** Two targets bear about a hundred requests a second; two hundred at once cannot be served. */
+    void hopelessRequestsAreRefusedAtOnce()
+    {
+        int refused = 0;
+        for (std::uint64_t i = 1; i <= 200; ++i) {
+            const auto outcome = m_balancer.place(makeRequest(i), m_now);
+            const auto *refusal = outcome ? std::get_if<Refusal>(&*outcome) : nullptr;
+            if (!refusal)
+                continue;
+            ++refused;
+            CPPUNIT_ASSERT(refusal->certainty == RunCertainty::NotRun);
+            CPPUNIT_ASSERT(refusal->retryAfter && refusal->retryAfter->count() > 0);
+        }
+        CPPUNIT_ASSERT(refused > 100);
+        CPPUNIT_ASSERT(m_balancer.waiting() > 5);
+    }
+
+    /** A target that is avoided for its slowdown gets no answers that would show it fast again. */
+    void slowTargetsAreKnownAgainWhenFast()
+    {
+        place(1);
+        probe(1, 4.0);
+        probe(2, 1.0);
+        m_now += Milliseconds(100);
+        const auto asked = m_balancer.dueProbes(true, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), asked.size());
+        CPPUNIT_ASSERT(m_balancer.dueProbes(true, m_now).empty());
+        probe(1, 1.0);
+        probe(2, 4.0);
+        for (const auto &choice : place(3, 100))
+            CPPUNIT_ASSERT(choice.target.id == TargetId("t1"));
+    }
+
+    void drainingAndEvacuatedTargetsGetNothing()
+    {
+        auto targets = makeTargets(2);
+        targets[0].draining = true;
+        m_balancer.setTargets(targets, m_now);
+        for (const auto &choice : place(2))
+            CPPUNIT_ASSERT(choice.target.id == TargetId("t2"));
+        m_balancer.setZonesOut({ZoneId("a")}, m_now);
+        const auto outcome = m_balancer.place(makeRequest(9), m_now);
+        CPPUNIT_ASSERT(std::get<Refusal>(*outcome).reason == RefusalReason::NoTarget);
+    }
+
+    /** One host places, and seventeen place by themselves as well: 18 a second and half as much. */
+    void coldTargetsGetTheirRateOverAllHosts()
+    {
+        constexpr std::size_t hosts = 17;
+        auto target = makeTarget(1);
+        target.coldFor = Milliseconds(60'000);
+        std::deque<ServiceBalancer> alone;
+        for (std::size_t i = 0; i <= hosts; ++i) {
+            alone.emplace_back(service, HostId(static_cast<std::uint32_t>(i + 1)),
+                               BalancingSettings{}, m_random);
+            alone.back().setRules(coldRules(18));
+            alone.back().setHosts(hosts);
+            alone.back().setTargets(std::vector{target}, m_now);
+        }
+        std::deque<TimePoint> sent;
+        std::uint64_t number = 1;
+        for (int step = 0; step < 2000; ++step) {
+            m_now += Milliseconds(5);
+            for (std::size_t i = 0; i <= hosts; ++i) {
+                const HostId host(static_cast<std::uint32_t>(i + 1));
+                const auto request = makeRequest(number++, host);
+                const auto outcome = i == 0 ? alone[i].place(request, m_now)
+                                            : std::optional(alone[i].placeAlone(request, m_now));
+                alone[i].cancel(request.attempt);
+                if (!outcome || !std::holds_alternative<BalancedChoice>(*outcome))
+                    continue;
+                sent.push_back(m_now);
+                alone[i].finish(makeReport(std::get<BalancedChoice>(*outcome),
+                                           AttemptOutcome::Answered),
+                                m_now);
+            }
+            while (!sent.empty() && m_now - sent.front() >= Seconds(1))
+                sent.pop_front();
+            CPPUNIT_ASSERT(sent.size() <= 18 * 1.5 + 5);
+        }
+        CPPUNIT_ASSERT(sent.size() >= 8);
+    }
+
+    /** All answers fail and every host retries; the bound is 0.2 of the requests and 62. */
+    void retriesOfAllHostsStayInTheBudget()
+    {
+        ServiceBalancer other(service, HostId(2), {}, m_random);
+        other.setTargets(makeTargets(2), m_now);
+        other.setHosts(17);
+        int retries = 0;
+        int firsts = 0;
+        for (std::uint64_t i = 1; i <= 2000; ++i) {
+            m_now += Milliseconds(5);
+            const bool central = i % 2 == 0;
+            ++firsts;
+            for (int attempt = 1; attempt <= 3; ++attempt) {
+                PlacementRequest request = makeRequest(i);
+                request.attempt.number = static_cast<std::uint8_t>(attempt);
+                request.retry = attempt > 1;
+                ServiceBalancer &balancer = central ? m_balancer : other;
+                auto outcome = central ? balancer.place(request, m_now)
+                                       : std::optional(balancer.placeAlone(request, m_now));
+                balancer.cancel(request.attempt);
+                if (!outcome || !std::holds_alternative<BalancedChoice>(*outcome))
+                    break;
+                retries += request.retry ? 1 : 0;
+                balancer.finish(makeReport(std::get<BalancedChoice>(*outcome),
+                                           AttemptOutcome::Answered),
+                                m_now);
+            }
+        }
+        CPPUNIT_ASSERT(retries <= firsts * 0.2 + 62);
+        CPPUNIT_ASSERT(retries >= firsts * 0.05);
+    }
+
+    void silentTargetsArePassedOver()
+    {
+        const auto choices = place(2);
+        m_now += Milliseconds(1);
+        const TargetId silent = choices[0].target.id;
+        for (const auto &choice : choices) {
+            if (choice.target.id != silent)
+                m_balancer.finish(makeReport(choice, AttemptOutcome::Answered), m_now);
+        }
+        m_now += Milliseconds(900);
+        for (const auto &choice : place(2, 50))
+            CPPUNIT_ASSERT(choice.target.id != silent);
+    }
+
+    void failingTargetsArePassedOver()
+    {
+        int last = 0;
+        for (std::uint64_t i = 1; i <= 200; ++i) {
+            m_now += Milliseconds(5);
+            const auto choice = place(1, i * 10).front();
+            const bool bad = choice.target.id == TargetId("t1");
+            last += bad && i > 150 ? 1 : 0;
+            m_balancer.finish(
+                    makeReport(choice, bad ? AttemptOutcome::Failed : AttemptOutcome::Answered),
+                    m_now);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(last), last <= 5);
+    }
+
+    void adoptRefusesWhatThisHostKnowsBetter()
+    {
+        const Placement placement{GrantId(7), TargetId("t1"), true};
+        CPPUNIT_ASSERT(m_balancer.adopt(makeRequest(1), placement, HostId(9), m_now));
+        auto targets = makeTargets(2);
+        targets[0].draining = true;
+        m_balancer.setTargets(targets, m_now);
+        CPPUNIT_ASSERT(!m_balancer.adopt(makeRequest(2), placement, HostId(9), m_now));
+        CPPUNIT_ASSERT(!m_balancer.adopt(makeRequest(3), {GrantId(8), TargetId("t7"), true},
+                                         HostId(9), m_now));
+    }
+
+    void pictureAddsWhatOthersHave()
+    {
+        TargetNews busy;
+        busy.target = targetKey(makeTarget(1));
+        busy.inFlight = 3;
+        m_balancer.applyPicture(std::vector{busy}, m_now);
+        for (const auto &choice : place(3))
+            CPPUNIT_ASSERT(choice.target.id == TargetId("t2"));
+        CPPUNIT_ASSERT(!m_balancer.place(makeRequest(9), m_now));
+    }
+
+    void ownZoneAndOpenConnectionsAreChosenFirst()
+    {
+        std::vector<RegisteredTarget> targets{makeTarget(1, "a"), makeTarget(2, "b"),
+                                              makeTarget(3, "b")};
+        m_balancer.setTargets(targets, m_now);
+        PlacementRequest upload = makeRequest(1);
+        upload.zone = ZoneId("b");
+        upload.body = Bytes(60'000);
+        upload.connected = {addressKey(targets[0].address), addressKey(targets[2].address)};
+        const auto outcome = m_balancer.place(upload, m_now);
+        CPPUNIT_ASSERT(std::get<BalancedChoice>(*outcome).target.id == TargetId("t3"));
+    }
+
+    void newVersionsWaitForAnOrder()
+    {
+        std::vector<RegisteredTarget> targets{makeTarget(1), makeTarget(2),
+                                              makeTarget(3, "a", "v2")};
+        m_balancer.setTargets(targets, m_now);
+        for (const auto &choice : place(5))
+            CPPUNIT_ASSERT(choice.target.version == VersionId("v1"));
+        m_balancer.versions().setOrder(
+                MoveOrder{service, VersionId("v2"), Milliseconds(16'000), Revision(5)}, m_now);
+        m_balancer.setMoveShare(Share(1));
+        const auto moved = m_balancer.place(makeRequest(20), m_now);
+        CPPUNIT_ASSERT(std::get<BalancedChoice>(*moved).target.version == VersionId("v2"));
+        m_balancer.versions().setVerdict(
+                MoveVerdict{service, VersionId("v2"), MoveState::TakenBack, Revision(6)});
+        CPPUNIT_ASSERT(!m_balancer.versions().side(VersionId("v2")));
+        CPPUNIT_ASSERT(m_balancer.versions().side(VersionId("v1")) == MoveSide::Old);
+    }
+
+    /** What a version does under load shows early if its few requests meet on one target. */
+    void firstRequestsOfANewVersionArePacked()
+    {
+        std::vector<RegisteredTarget> targets{makeTarget(1), makeTarget(2, "a", "v2"),
+                                              makeTarget(3, "a", "v2"), makeTarget(4, "a", "v2")};
+        m_balancer.setTargets(targets, m_now);
+        m_balancer.versions().setOrder(
+                MoveOrder{service, VersionId("v2"), Milliseconds(16'000), Revision(5)}, m_now);
+        m_balancer.setMoveShare(Share(0.3));
+        std::map<TargetId, int> fresh;
+        for (std::uint64_t i = 1; i <= 8; ++i) {
+            const auto outcome = m_balancer.place(makeRequest(i), m_now);
+            const auto *choice = outcome ? std::get_if<BalancedChoice>(&*outcome) : nullptr;
+            if (choice && choice->target.version == VersionId("v2"))
+                ++fresh[choice->target.id];
+        }
+        CPPUNIT_ASSERT(fresh.size() <= 1 || fresh.begin()->second == 3);
+    }
+
+    void expiredGrantsOfOtherHostsFreeTheirPlace()
+    {
+        for (std::uint64_t i = 1; i <= 6; ++i)
+            CPPUNIT_ASSERT(m_balancer.place(makeRequest(i, HostId(2)), m_now));
+        CPPUNIT_ASSERT(!m_balancer.place(makeRequest(7), m_now));
+        m_balancer.cancel(makeRequest(7).attempt);
+        m_now += Milliseconds(1400);
+        m_balancer.dispatch(m_now);
+        CPPUNIT_ASSERT(m_balancer.place(makeRequest(8), m_now));
+    }
+
+    /**
+     * Load pattern of the heaviest days: twice the usual requests for two seconds on targets of
+     * which a quarter works four times slower, by turns of 300 ms. At least four in five requests
+     * are answered within their objective, and none that was accepted after its deadline.
+     */
+    void centralQueueServesABurst()
+    {
+        constexpr int count = 17;
+        m_balancer.setTargets(makeTargets(count), m_now);
+        std::vector<double> slowdown(count + 1, 1.0);
+        struct Running
+        {
+            BalancedChoice choice;
+            TimePoint arrivedAt;
+            double left;
+        };
+        std::vector<Running> running;
+        std::map<AttemptId, TimePoint> arrivals;
+        int asked = 0;
+        int inTime = 0;
+        std::uint64_t number = 1;
+        const TimePoint end = m_now + Seconds(6);
+        const auto start = [&](const BalancedChoice &choice, TimePoint arrivedAt) {
+            running.push_back({choice, arrivedAt, 40 + 40 * drawUnit(m_random)});
+        };
+        for (const TimePoint begin = m_now; m_now < end; m_now += Milliseconds(1)) {
+            const auto passed = toMilliseconds(m_now - begin).count();
+            for (int t = 1; t <= count; ++t) {
+                if ((passed + t * 17) % 300 == 0)
+                    slowdown[static_cast<std::size_t>(t)] = drawUnit(m_random) < 0.25 ? 4 : 1;
+            }
+            const bool burst = passed >= 2000 && passed < 4000;
+            if (drawUnit(m_random) < (burst ? 0.41 : 0.205)) {
+                ++asked;
+                const auto request = makeRequest(number++);
+                arrivals[request.attempt] = m_now;
+                const auto outcome = m_balancer.place(request, m_now);
+                if (outcome && std::holds_alternative<BalancedChoice>(*outcome))
+                    start(std::get<BalancedChoice>(*outcome), m_now);
+            }
+            std::vector<Running> ended;
+            std::erase_if(running, [&](Running &item) {
+                const std::size_t t = std::stoul(item.choice.target.id.value().substr(1));
+                item.left -= 1 / slowdown[t];
+                if (item.left > 0)
+                    return false;
+                ended.push_back(item);
+                return true;
+            });
+            for (const auto &item : ended) {
+                const auto took = toMilliseconds(m_now - item.arrivedAt);
+                CPPUNIT_ASSERT(took <= Milliseconds(1000));
+                inTime += took <= Milliseconds(300) ? 1 : 0;
+                const std::size_t t = std::stoul(item.choice.target.id.value().substr(1));
+                AttemptReport report = makeReport(item.choice, AttemptOutcome::Answered, took);
+                report.load->slowdown = slowdown[t];
+                m_balancer.finish(report, m_now);
+            }
+            for (const auto &decision : m_balancer.dispatch(m_now)) {
+                if (const auto *choice = std::get_if<BalancedChoice>(&decision.outcome))
+                    start(*choice, arrivals.at(decision.request.attempt));
+            }
+            if (passed % 25 == 0) {
+                for (const auto &target : m_balancer.dueProbes(true, m_now)) {
+                    const std::size_t t = std::stoul(target.id.value().substr(1));
+                    probe(static_cast<int>(t), slowdown[t]);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(inTime) + " of " + std::to_string(asked),
+                               inTime * 5 >= asked * 4);
+    }
+
+private:
+    std::vector<BalancedChoice> place(int count, std::uint64_t first = 1)
+    {
+        std::vector<BalancedChoice> result;
+        for (int i = 0; i < count; ++i) {
+            const auto request = makeRequest(first + static_cast<std::uint64_t>(i));
+            const auto outcome = m_balancer.place(request, m_now);
+            CPPUNIT_ASSERT(outcome && std::holds_alternative<BalancedChoice>(*outcome));
+            result.push_back(std::get<BalancedChoice>(*outcome));
+        }
+        return result;
+    }
+
+    void probe(int number, double slowdown)
+    {
+        const TargetId id("t" + std::to_string(number));
+        TargetProbe probe;
+        probe.healthy = true;
+        probe.id = id;
+        probe.load = ReportedLoad{Slots(1), Slots(0), Slots(4), slowdown};
+        m_balancer.probed(id, probe, m_now);
+    }
+
+    Random m_random{1};
+    TimePoint m_now{Seconds(1000)};
+    ServiceBalancer m_balancer{service, self, {}, m_random};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BalancingTest);
