tests: registry, readers, placement without an answer, and the adapter against a stand-in of the store

Cause: edge and platform had no tests. Change: 10 tests of the edge slice, 14 of the adapter; the store is a small HTTP server in the test.

--- /dev/null
+++ b/tests/edge/edge_test.cpp
@@ -0,0 +1,263 @@
+#include "endivedock/edge.h"
+#include "endivedock/edge/shared_placement-inl.h"
+
+#include "../net_support.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace endivedock;
+
+namespace {
+
+/** Reads keys of a small format: "target:ID" holds a service, "config" a version, "host:N". */
+RegistryFact readFact(const StoreEntry &entry)
+{
+    if (entry.value == "bad")
+        throw RegistryError("the value is bad");
+    if (entry.key == "config") {
+        const ConfigurationVersion version(std::stoul(entry.value));
+        return ConfigurationFact{std::make_shared<RoutingTable>(
+                version, std::vector<Route>{}, std::vector<ServiceRules>{}, RequestLimits{})};
+    }
+    if (entry.key.starts_with("target:")) {
+        RegisteredTarget target;
+        target.id = TargetId(entry.key.substr(7));
+        target.service = ServiceId(entry.value.substr(0, entry.value.find(' ')));
+        target.draining = entry.value.ends_with(" draining");
+        return target;
+    }
+    return UnknownFact{};
+}
+
+StoreChanges change(std::int64_t revision, const std::string &key,
+                    const std::optional<std::string> &value)
+{
+    return {Revision(revision), {{key, value, Revision(revision)}}};
+}
+
+RegisteredHost makeHost(std::uint32_t id, double capacity = 1)
+{
+    return {HostId(id), Address{"127.0.0.1", static_cast<std::uint16_t>(id)}, capacity};
+}
+
+} // namespace
+
+class EdgeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EdgeTest);
+    CPPUNIT_TEST(configurationsNeverGoBack);
+    CPPUNIT_TEST(oldSnapshotsAndChangesAreIgnored);
+    CPPUNIT_TEST(oneBadEntryHidesNoOther);
+    CPPUNIT_TEST(lapsedTargetsAreKeptForAWhile);
+    CPPUNIT_TEST(targetsThatLeaveAreDroppedAtOnce);
+    CPPUNIT_TEST(deltasLeadOnOrAreRefused);
+    CPPUNIT_TEST(aFewHostsReadAndOthersTakeOver);
+    CPPUNIT_TEST(messagesSurviveTheirEncoding);
+    CPPUNIT_TEST(placesAloneWhereNobodyAnswers);
+    CPPUNIT_TEST(lateGrantsAreGivenBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { configureLog(LogLevel::Error); }
+
+    void configurationsNeverGoBack()
+    {
+        m_registry.applyChanges(change(5, "config", "7"), m_now);
+        m_registry.applyChanges(change(6, "config", "6"), m_now);
+        CPPUNIT_ASSERT(m_registry.table()->version() == ConfigurationVersion(7));
+        m_registry.applyChanges(change(7, "config", std::nullopt), m_now);
+        CPPUNIT_ASSERT(m_registry.table() != nullptr);
+    }
+
+    void oldSnapshotsAndChangesAreIgnored()
+    {
+        m_registry.applyChanges(change(9, "target:a", "quotes draining"), m_now);
+        StoreSnapshot old;
+        old.revision = Revision(8);
+        old.entries.push_back({"target:a", "quotes", Revision(3)});
+        CPPUNIT_ASSERT(!m_registry.applySnapshot(old, m_now));
+        m_registry.applyChanges(change(4, "target:a", "quotes"), m_now);
+        CPPUNIT_ASSERT(m_registry.targetsOf(ServiceId("quotes")).at(0).draining);
+    }
+
+    void oneBadEntryHidesNoOther()
+    {
+        StoreSnapshot snapshot;
+        snapshot.revision = Revision(3);
+        snapshot.entries = {{"target:a", "quotes", Revision(1)},
+                            {"target:b", "bad", Revision(2)},
+                            {"target:c", "quotes", Revision(3)}};
+        m_registry.applySnapshot(snapshot, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_registry.targetsOf(ServiceId("quotes")).size());
+    }
+
+    void lapsedTargetsAreKeptForAWhile()
+    {
+        m_registry.applyChanges(change(1, "target:a", "quotes"), m_now);
+        m_registry.applyChanges(change(2, "target:b", "quotes"), m_now);
+        m_registry.storeReturned(m_now);
+        m_registry.applyChanges(change(3, "target:a", std::nullopt), m_now);
+        m_registry.applyChanges(change(4, "target:b", std::nullopt), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_registry.targetsOf(ServiceId("quotes")).size());
+        m_registry.applyChanges(change(5, "target:a", "quotes"), m_now);
+        CPPUNIT_ASSERT(m_registry.expireLapsed(m_now + Registry::lapsedGrace));
+        const auto left = m_registry.targetsOf(ServiceId("quotes"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), left.size());
+        CPPUNIT_ASSERT(left[0].id == TargetId("a"));
+    }
+
+    void targetsThatLeaveAreDroppedAtOnce()
+    {
+        m_registry.applyChanges(change(1, "target:a", "quotes draining"), m_now);
+        m_registry.storeReturned(m_now);
+        m_registry.applyChanges(change(2, "target:a", std::nullopt), m_now);
+        CPPUNIT_ASSERT(m_registry.targetsOf(ServiceId("quotes")).empty());
+    }
+
+    void deltasLeadOnOrAreRefused()
+    {
+        Registry other(&readFact);
+        m_registry.applyChanges(change(1, "target:a", "quotes"), m_now);
+        m_registry.applyChanges(change(2, "target:b", "quotes"), m_now);
+        CPPUNIT_ASSERT(other.applyDelta(m_registry.deltaFrom(Revision(0), m_now), m_now));
+        m_registry.applyChanges(change(3, "target:a", std::nullopt), m_now);
+        const RegistryDelta third = m_registry.deltaFrom(Revision(2), m_now);
+        m_registry.applyChanges(change(4, "target:c", "quotes"), m_now);
+        const RegistryDelta fourth = m_registry.deltaFrom(Revision(3), m_now);
+        CPPUNIT_ASSERT(!other.applyDelta(fourth, m_now));
+        CPPUNIT_ASSERT(other.applyDelta(third, m_now));
+        CPPUNIT_ASSERT(other.applyDelta(fourth, m_now));
+        CPPUNIT_ASSERT(other.applyDelta(third, m_now)); // Late, and harmless.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), other.targetsOf(ServiceId("quotes")).size());
+        CPPUNIT_ASSERT(other.revision() == Revision(4));
+    }
+
+    void aFewHostsReadAndOthersTakeOver()
+    {
+        std::vector<RegisteredHost> hosts;
+        for (std::uint32_t id = 1; id <= 10; ++id)
+            hosts.push_back(makeHost(id, id <= 2 ? 0.1 : 0.5));
+        ReaderChoice weak(HostId(1), 0.1);
+        ReaderChoice last(HostId(10), 0.5);
+        ReaderChoice first(HostId(3), 0.5);
+        for (auto *choice : {&weak, &last, &first})
+            choice->setHosts(hosts, m_now);
+        CPPUNIT_ASSERT(!weak.shouldRead(m_now) && !last.shouldRead(m_now));
+        CPPUNIT_ASSERT(first.shouldRead(m_now));
+        const TimePoint later = m_now + ReaderChoice::patience + Milliseconds(1);
+        CPPUNIT_ASSERT(weak.shouldRead(later));
+        for (std::uint32_t id = 3; id <= 6; ++id)
+            last.heard(HostId(id), true, later);
+        CPPUNIT_ASSERT(!last.shouldRead(later));
+        last.heard(HostId(3), false, later); // It cannot reach the store.
+        CPPUNIT_ASSERT(last.shouldRead(later));
+    }
+
+    void messagesSurviveTheirEncoding()
+    {
+        AttemptReport report;
+        report.service = ServiceId("quotes");
+        report.load = ReportedLoad{Slots(3), Slots(1), Slots(4), 2.5};
+        const PeerHeader header{HostId(1), Incarnation(2), 3, HostId(4)};
+        PeerHeader decoded;
+        const EdgeMessage message =
+                EdgeCodec::decode(EdgeCodec::encode(header, report), decoded);
+        CPPUNIT_ASSERT(decoded.receiver == HostId(4));
+        CPPUNIT_ASSERT(std::get<AttemptReport>(message).load == report.load);
+        const std::string text = EdgeCodec::encode(header, report);
+        for (std::size_t size = 0; size < text.size(); ++size)
+            CPPUNIT_ASSERT_THROW(EdgeCodec::decode(text.substr(0, size), decoded), MessageError);
+    }
+
+    void placesAloneWhereNobodyAnswers()
+    {
+        Desk desk;
+        desk.peers.placing = HostId(2);
+        const auto placed = desk.place(1);
+        CPPUNIT_ASSERT(std::holds_alternative<PlacedTarget>(placed));
+        CPPUNIT_ASSERT_EQUAL(1, desk.peers.unansweredCount);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), desk.peers.cancels.size());
+    }
+
+    void lateGrantsAreGivenBack()
+    {
+        Desk desk;
+        PlacementAnswer answer;
+        answer.attempt = {HostId(1), RequestId(99), 1};
+        answer.service = ServiceId("quotes");
+        answer.outcome = Placement{GrantId(5), TargetId("a"), true};
+        desk.placement.take(HostId(2), answer, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), desk.peers.cancels.size());
+        CPPUNIT_ASSERT(desk.peers.cancels[0].attempt == answer.attempt);
+    }
+
+private:
+    /** A way to other hosts on which nobody answers. */
+    struct DeafPeers
+    {
+        HostId placingHost(const ServiceId &, TimePoint) const { return placing; }
+        void unanswered(HostId, TimePoint)
+        {
+            ++unansweredCount;
+            placing = HostId(1);
+        }
+        void send(HostId, const PlacementRequest &) {}
+        void send(HostId, const PlacementAnswer &) {}
+        void send(HostId, const AttemptReport &) {}
+        void send(HostId, const PlacementCancel &cancel) { cancels.push_back(cancel); }
+
+        HostId placing{1};
+        int unansweredCount = 0;
+        std::vector<PlacementCancel> cancels;
+    };
+
+    /** Placements of one host for one service with one target. */
+    struct Desk
+    {
+        Desk()
+            : placement(context.get_executor(), HostId(1), {}, random, metrics, peers)
+        {
+            Registry registry([](const StoreEntry &entry) -> RegistryFact {
+                if (entry.key != "config")
+                    return readFact(entry);
+                Route route;
+                route.parts = {{ServiceId("quotes"), 1}};
+                return ConfigurationFact{std::make_shared<RoutingTable>(
+                        ConfigurationVersion(1), std::vector{route},
+                        std::vector<ServiceRules>{}, RequestLimits{})};
+            });
+            const TimePoint now = SteadyClock().now();
+            registry.applyChanges(change(1, "config", "1"), now);
+            registry.applyChanges(change(2, "target:a", "quotes"), now);
+            placement.follow(registry, 2, now);
+        }
+
+        std::variant<PlacedTarget, Refusal> place(std::uint64_t number)
+        {
+            std::variant<PlacedTarget, Refusal> result;
+            endivedock::testing::runTask(context, placeInto(number, result));
+            return result;
+        }
+
+        Task<> placeInto(std::uint64_t number, std::variant<PlacedTarget, Refusal> &result)
+        {
+            PlacementRequest request;
+            request.attempt = {HostId(1), RequestId(number), 1};
+            request.service = ServiceId("quotes");
+            request.remaining = Milliseconds(800);
+            request.objective = Milliseconds(300);
+            result = co_await placement.place(request, SteadyClock().now() + Milliseconds(800));
+        }
+
+        asio::io_context context;
+        Random random{1};
+        Metrics metrics;
+        DeafPeers peers;
+        SharedPlacement<DeafPeers> placement;
+    };
+
+    TimePoint m_now{Seconds(1000)};
+    Registry m_registry{&readFact};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EdgeTest);
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,378 @@
+#include "endivedock/platform.h"
+
+#include "endivedock/store/etcd_store.h"
+
+#include "../net_support.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+using namespace endivedock;
+using endivedock::testing::anyPort;
+using endivedock::testing::runTask;
+
+namespace {
+
+constexpr std::string_view settingsText = R"({
+    "node_name": "edge-a-1", "zone": "a", "ip": "10.1.0.15", "new_field": {"x": 1},
+    "listen": {"front": "10.1.0.15:8641", "ready": "10.1.0.15:8640", "control": "10.1.0.15:8649"},
+    "internal_port_range": [7620, 7635],
+    "seeds": ["10.1.0.15:8649", "10.2.0.42:8649"],
+    "bootstrap": true,
+    "limits": {"cpu_share": 0.2, "cpu_cores": 2},
+    "bounds": ["retry_budget_ratio=0.2", "budget_min_retries=62", "grace_s=6", "other"],
+    "provider": {"address": "10.200.1.7:8642", "form": "kv"}
+})";
+
+constexpr std::string_view configurationText = R"({"version": "r12", "base_version": "r7",
+    "resources": [
+    {"resource_type": "routes", "metadata": {"name": "r1"}, "spec": {"host": "h.example",
+     "prefix": "/a/", "kind": "safe", "timeout_ms": 800, "target_latency_ms": 200, "priority": 2,
+     "attempts": 2, "traffic_split": [{"service": "s1", "weight": 90},
+                                      {"service": "s2", "weight": 0}]}},
+    {"resource_type": "routes", "metadata": {"name": "r2"}, "spec": {"host": "h.example",
+     "prefix": "/b/", "kind": "upload", "timeout_ms": 1000, "service": "s2", "attempts": 1}},
+    {"resource_type": "services", "metadata": {"name": "s1"}, "spec": {"health_path": "/healthz",
+     "max_connections": 260, "warmup_s": 3.0, "warmup_per_s": 18.0}},
+    {"resource_type": "limits", "metadata": {}, "spec": {"max_header_bytes": 100,
+     "max_body_bytes": 50, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}]})";
+
+RegistryFact read(const std::string &key, std::string_view value)
+{
+    return Platform::read({key, std::string(value), Revision(5)});
+}
+
+RequestHead makeHead(const std::string &path, HeaderFields fields = {})
+{
+    RequestHead head;
+    head.method = "GET";
+    head.path = path;
+    head.fields = std::move(fields);
+    head.fields.push_back({"Host", "h.example"});
+    return head;
+}
+
+AnswerHead makeAnswer(unsigned status, HeaderFields fields)
+{
+    AnswerHead head;
+    head.status = status;
+    head.fields = std::move(fields);
+    return head;
+}
+
+} // namespace
+
+class PlatformTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformTest);
+    CPPUNIT_TEST(readsSettings);
+    CPPUNIT_TEST(refusesSettingsWithoutWhatItNeeds);
+    CPPUNIT_TEST(readsConfigurations);
+    CPPUNIT_TEST(readsTargets);
+    CPPUNIT_TEST(entriesOfOtherWritersNameNoTarget);
+    CPPUNIT_TEST(readsOrdersAndWritesVerdicts);
+    CPPUNIT_TEST(plansByRoute);
+    CPPUNIT_TEST(refusalsPromiseOnlyWhatIsTrue);
+    CPPUNIT_TEST(answersAreKnownByIdAndSignature);
+    CPPUNIT_TEST(readsLoadAndColdness);
+    CPPUNIT_TEST(storeListsAllPages);
+    CPPUNIT_TEST(storeWatchesAndLosesHistory);
+    CPPUNIT_TEST(storeSwapsUnderCondition);
+    CPPUNIT_TEST(storeErrorsAreNotSwallowed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { configureLog(LogLevel::Error); }
+
+    void readsSettings()
+    {
+        const EdgeSettings settings = parsePlatformSettings(settingsText);
+        CPPUNIT_ASSERT_EQUAL(std::string("edge-a-1"), settings.name);
+        CPPUNIT_ASSERT(settings.peer == (Address{"10.1.0.15", 7620}));
+        CPPUNIT_ASSERT(settings.seeds == std::vector{(Address{"10.2.0.42", 7620})});
+        CPPUNIT_ASSERT(settings.isSeed && settings.firstStart);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, settings.capacity, 1e-9);
+        CPPUNIT_ASSERT(settings.stopTime == Milliseconds(5500));
+        CPPUNIT_ASSERT(settings.balancing.retryShare < Share(0.2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(64), settings.peerKey.size());
+    }
+
+    void refusesSettingsWithoutWhatItNeeds()
+    {
+        for (const std::string field : {"node_name", "zone", "listen", "provider", "ip"}) {
+            std::string text(settingsText);
+            text.replace(text.find('"' + field + '"'), field.size() + 2, "\"absent\"");
+            CPPUNIT_ASSERT_THROW_MESSAGE(field, parsePlatformSettings(text),
+                                         PlatformSettingsError);
+        }
+        CPPUNIT_ASSERT_THROW(parsePlatformSettings("{"), PlatformSettingsError);
+    }
+
+    void readsConfigurations()
+    {
+        const auto fact = read("op/config", configurationText);
+        const auto table = std::get<ConfigurationFact>(fact).table;
+        CPPUNIT_ASSERT(table->version() == ConfigurationVersion(12));
+        const Route &split = table->routes().at(0);
+        CPPUNIT_ASSERT(split.kind == RequestKind::Safe);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), split.parts.size());
+        CPPUNIT_ASSERT(split.objective == Milliseconds(200));
+        CPPUNIT_ASSERT(table->routes().at(1).kind == RequestKind::Upload);
+        CPPUNIT_ASSERT(table->limits().body == Bytes(50));
+        CPPUNIT_ASSERT(table->services().at(ServiceId("s1")).warmupRate == PerSecond(18));
+        CPPUNIT_ASSERT_THROW(read("op/config", R"({"version": "12", "resources": []})"),
+                             RegistryError);
+    }
+
+    void readsTargets()
+    {
+        const auto fact = read("servers/i-1", R"({"address": "10.1.0.9:80", "born": 1700000000123,
+            "info": {"service": "s1", "version": "v1", "zone": "a", "capacity": 4},
+            "status": {"state": "draining", "seq": 4, "warmup_left_ms": 1500}})");
+        const auto target = std::get<RegisteredTarget>(fact);
+        CPPUNIT_ASSERT(target.id == TargetId("i-1"));
+        CPPUNIT_ASSERT(target.slots == Slots(4));
+        CPPUNIT_ASSERT(target.draining);
+        CPPUNIT_ASSERT(target.coldFor == Milliseconds(1500));
+        CPPUNIT_ASSERT(target.startedAt == 1700000000123);
+    }
+
+    void entriesOfOtherWritersNameNoTarget()
+    {
+        const std::string good = R"({"address": "10.1.0.9:80",
+            "info": {"service": "s1", "version": "v1", "zone": "a", "capacity": 4},
+            "status": {"state": "ready", "seq": 4, "warmup_left_ms": 0}})";
+        const std::vector<std::pair<std::string, std::string>> spoilt{
+                {"\"ready\"", "\"asleep\""}, {"\"s1\"", "17"},      {"\"10.1.0.9:80\"", "\"x\""},
+                {": 4, \"warm", ": 4, \"w"}, {"\"capacity\": 4", "\"capacity\": \"4\""},
+                {"\"info\"", "\"other\""},   {"{", "\xff"}};
+        for (const auto &[from, to] : spoilt) {
+            std::string text = good;
+            text.replace(text.find(from), from.size(), to);
+            if (from.find("warm") != std::string::npos)
+                continue; // Without it the target is warm.
+            CPPUNIT_ASSERT_THROW_MESSAGE(text, read("servers/i-1", text), RegistryError);
+        }
+    }
+
+    void readsOrdersAndWritesVerdicts()
+    {
+        const auto order = std::get<MoveOrder>(
+                read("op/rollout/s1",
+                     R"({"service": "s1", "target_version": "v2", "duration_s": 12})"));
+        CPPUNIT_ASSERT(order.to == VersionId("v2"));
+        CPPUNIT_ASSERT(order.duration == Milliseconds(12'000));
+        for (const auto state : {MoveState::Running, MoveState::Done, MoveState::TakenBack}) {
+            const StoreEntry entry =
+                    Platform::writeVerdict(ServiceId("s1"), VersionId("v2"), state);
+            const auto verdict = std::get<MoveVerdict>(Platform::read(entry));
+            CPPUNIT_ASSERT(verdict.state == state && verdict.service == ServiceId("s1"));
+        }
+        CPPUNIT_ASSERT(std::get<ZoneOutFact>(read("op/evacuate/z", "{}")).zone == ZoneId("z"));
+        const RegisteredHost host{hostIdOf("n"), {"10.0.0.1", 7}, 0.5};
+        const auto back = std::get<RegisteredHost>(Platform::read(Platform::writeHost("n", host)));
+        CPPUNIT_ASSERT(back.id == host.id && back.peer == host.peer);
+    }
+
+    void plansByRoute()
+    {
+        configure();
+        const auto planned = m_front.plan(
+                makeHead("/a/x?y", {{"Request-Id", "r1"}, {"Request-Deadline-Ms", "300"}}), m_now);
+        const auto &plan = std::get<RequestPlan>(planned);
+        CPPUNIT_ASSERT(plan.service == ServiceId("s1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/x?y"), plan.targetPath);
+        CPPUNIT_ASSERT(plan.idempotent && plan.maxAttempts == 2);
+        CPPUNIT_ASSERT(plan.deadline == m_now + Milliseconds(300));
+        const auto longest =
+                m_front.plan(makeHead("/a/x", {{"Request-Deadline-Ms", "9000"}}), m_now);
+        CPPUNIT_ASSERT(std::get<RequestPlan>(longest).deadline == m_now + Milliseconds(800));
+        CPPUNIT_ASSERT(std::get<Refusal>(m_front.plan(makeHead("/c/"), m_now)).reason ==
+                       RefusalReason::UnknownService);
+        RequestHead large = makeHead("/a/x");
+        large.framing.length = 51;
+        CPPUNIT_ASSERT(std::get<Refusal>(m_front.plan(large, m_now)).reason ==
+                       RefusalReason::BodyTooLarge);
+        HeaderFields fields{{"Target-Instance", "forged"}, {"Request-Deadline-Ms", "300"}};
+        m_front.prepare(fields, plan, {TargetId("i-1"), 0, Milliseconds(250)}, RequestId(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), std::string(*findField(fields, "target-instance")));
+        CPPUNIT_ASSERT_EQUAL(std::string("250"),
+                             std::string(*findField(fields, "request-deadline-ms")));
+    }
+
+    void refusalsPromiseOnlyWhatIsTrue()
+    {
+        const auto none = m_front.plan(makeHead("/a/"), m_now);
+        CPPUNIT_ASSERT(std::get<Refusal>(none).reason == RefusalReason::NoConfiguration);
+        for (int i = 0; i <= static_cast<int>(RefusalReason::Internal); ++i) {
+            const auto reason = static_cast<RefusalReason>(i);
+            const auto head = makeHead("/a/", {{"Request-Id", "r1"}});
+            const auto maybe =
+                    m_front.refuse({reason, RunCertainty::MayHaveRun}, head, RequestId(1));
+            CPPUNIT_ASSERT(maybe.head.status == 502 || maybe.head.status == 504);
+            const auto never = m_front.refuse(
+                    {reason, RunCertainty::NotRun, Milliseconds(125)}, head, RequestId(1));
+            CPPUNIT_ASSERT(never.head.status == 503 || never.head.status < 500);
+            if (never.head.status == 503)
+                CPPUNIT_ASSERT_EQUAL(std::string("0.125"),
+                                     std::string(*findField(never.head.fields, "Retry-After")));
+        }
+    }
+
+    void answersAreKnownByIdAndSignature()
+    {
+        RequestPlan plan;
+        plan.callerId = "r1";
+        const HeaderField id{"Request-Id", "r1"};
+        const HeaderField signature{"Response-Signature", "s"};
+        const auto origin = [&](unsigned status, HeaderFields fields) {
+            return m_front.origin(makeAnswer(status, std::move(fields)), plan);
+        };
+        CPPUNIT_ASSERT(origin(200, {id, signature}) == AnswerOrigin::Ours);
+        CPPUNIT_ASSERT(origin(500, {id}) == AnswerOrigin::Ours);
+        CPPUNIT_ASSERT(origin(200, {{"Request-Id", "r0"}, signature}) ==
+                       AnswerOrigin::AnotherRequest);
+        CPPUNIT_ASSERT(origin(200, {id}) == AnswerOrigin::Unusable);
+        CPPUNIT_ASSERT(origin(200, {signature}) == AnswerOrigin::Unusable);
+        CPPUNIT_ASSERT(origin(200, {id, signature, {"Content-Encoding", "gzip"}}) ==
+                       AnswerOrigin::Unusable);
+        CPPUNIT_ASSERT(m_front.report(makeAnswer(503, {{"Not-Executed", "1"}})).notRun);
+        CPPUNIT_ASSERT(m_front.report(makeAnswer(421, {})).misdirected);
+        CPPUNIT_ASSERT(!m_front.report(makeAnswer(503, {})).notRun);
+    }
+
+    void readsLoadAndColdness()
+    {
+        const auto load =
+                m_front.report(makeAnswer(200, {{"Server-Load", "3, 1,8,250"}})).load;
+        CPPUNIT_ASSERT(load == (ReportedLoad{Slots(3), Slots(1), Slots(8), 2.5}));
+        CPPUNIT_ASSERT(!m_front.report(makeAnswer(200, {{"Server-Load", "3,x,8"}})).load);
+        const auto probe = Platform::readProbe(makeAnswer(
+                200, {{"Instance-Id", "i-1"}, {"Warmup-Ms", "700"}, {"Server-Load", "0,0,4"}}));
+        CPPUNIT_ASSERT(probe.healthy && probe.id == TargetId("i-1"));
+        CPPUNIT_ASSERT(probe.coldFor == Milliseconds(700));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, probe.load->slowdown, 1e-9);
+    }
+
+    void storeListsAllPages()
+    {
+        const std::string value = encodeBase64("{}");
+        const auto item = [&](const std::string &key, int revision) {
+            return R"({"key":")" + key + R"(","value":")" + value +
+                   R"(","revision":)" + std::to_string(revision) + "}";
+        };
+        StoreSnapshot snapshot;
+        withStore(
+                [&](const HttpCall &call) -> HttpResult {
+                    if (call.path.find("after=") == std::string::npos)
+                        return {200, "", R"({"items":[)" + item("a b", 3) +
+                                                 R"(],"has_more":true,"as_of":7})"};
+                    CPPUNIT_ASSERT(call.path.ends_with("after=a%20b"));
+                    return {200, "",
+                            R"({"items":[)" + item("c", 9) + R"(],"has_more":false,"as_of":9})"};
+                },
+                [&](KvStore &store) -> Task<> { snapshot = co_await store.list(""); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), snapshot.entries.size());
+        CPPUNIT_ASSERT(snapshot.revision == Revision(7));
+    }
+
+    void storeWatchesAndLosesHistory()
+    {
+        StoreChanges changes;
+        bool gone = false;
+        withStore(
+                [&](const HttpCall &call) -> HttpResult {
+                    if (call.path.find("after=5") == std::string::npos)
+                        return {410, "", "{}"};
+                    return {200, "",
+                            R"({"events":[{"key":"x","revision":6,"deleted":true},)"
+                            R"({"key":"y","value":"eA==","revision":7}],"as_of":7})"};
+                },
+                [&](KvStore &store) -> Task<> {
+                    changes = co_await store.watch("", Revision(5), Milliseconds(100));
+                    try {
+                        co_await store.watch("", Revision(1), Milliseconds(100));
+                    } catch (const HistoryGone &) {
+                        gone = true;
+                    }
+                });
+        CPPUNIT_ASSERT(gone);
+        CPPUNIT_ASSERT(!changes.changes.at(0).value);
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), *changes.changes.at(1).value);
+    }
+
+    void storeSwapsUnderCondition()
+    {
+        SwapResult lost;
+        SwapResult won;
+        std::string sent;
+        withStore(
+                [&](const HttpCall &call) -> HttpResult {
+                    if (call.body.find("\"revision\":0") != std::string::npos)
+                        return {412, "", R"({"items":[{"key":"k","value":"eA==","revision":4}]})"};
+                    sent = call.body;
+                    return {200, "", R"({"revision":5})"};
+                },
+                [&](KvStore &store) -> Task<> {
+                    std::vector<Swap> first{{"k", Revision(0), "y"}};
+                    lost = co_await store.compareAndSwap(first, noLease);
+                    std::vector<Swap> second{{"k", Revision(4), "y"}};
+                    won = co_await store.compareAndSwap(second, LeaseId(9));
+                });
+        CPPUNIT_ASSERT(!lost.swapped && lost.present->modified == Revision(4));
+        CPPUNIT_ASSERT(won.swapped && won.revision == Revision(5));
+        CPPUNIT_ASSERT(sent.find(R"("lease":9)") != std::string::npos);
+    }
+
+    void storeErrorsAreNotSwallowed()
+    {
+        int unavailable = 0;
+        int malformed = 0;
+        int calls = 0;
+        withStore(
+                [&](const HttpCall &) -> HttpResult {
+                    ++calls;
+                    return {calls == 1 ? 503u : 200u, "", calls == 3 ? "[]" : "{}"};
+                },
+                [&](KvStore &store) -> Task<> {
+                    for (int i = 0; i < 3; ++i) {
+                        try {
+                            co_await store.list("");
+                        } catch (const StoreUnavailable &) {
+                            ++unavailable;
+                        } catch (const StoreProtocolError &) {
+                            ++malformed;
+                        }
+                    }
+                });
+        CPPUNIT_ASSERT_EQUAL(1, unavailable);
+        CPPUNIT_ASSERT_EQUAL(2, malformed);
+    }
+
+private:
+    static void withStore(const std::function<HttpResult(const HttpCall &)> &answer,
+                          const std::function<Task<>(KvStore &)> &use)
+    {
+        asio::io_context context;
+        HttpServer server(context.get_executor(), anyPort,
+                          [&answer](HttpCall call) -> Task<HttpResult> { co_return answer(call); });
+        KvStore store(context.get_executor(), server.localAddress());
+        runTask(context, use(store));
+    }
+
+    void configure()
+    {
+        StoreChanges changes;
+        changes.revision = Revision(1);
+        changes.changes.push_back({"op/config", std::string(configurationText), Revision(1)});
+        m_registry.applyChanges(changes, m_now);
+    }
+
+    TimePoint m_now{Seconds(1000)};
+    Registry m_registry{&Platform::read};
+    WeightedTurns m_turns;
+    PlatformFrontEnd m_front{{m_registry, m_turns}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
