log: bounded lines, never blocking; ids that join the lines of one request; a fault soak

Cause: an engineer could not get from a request's id to the placing host's decision, and a burst wrote as many lines as it had requests. Change: at most 100 lines of one sentence in a second, with a count of those left out; a full pipe loses lines; refusals are logged where they are decided, with what decided them; gateway lines carry the id that placement lines have. tests/soak harms real processes over loopback.

--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -71,6 +71,7 @@
     std::optional<PlacementAnswer> answer;
     if (placing == m_self) {
         if (auto outcome = balancer->place(request, now)) {
+            logRefusal(request, *outcome);
             if (const auto *choice = std::get_if<BalancedChoice>(&*outcome))
                 co_return placed(request, *choice, m_self);
             co_return std::get<Refusal>(*outcome);
@@ -130,6 +131,7 @@
     m_metrics.count("endivedock_placements_alone_total");
     ServiceBalancer *balancer = find(request.service);
     auto outcome = balancer->placeAlone(request, SteadyClock().now());
+    logRefusal(request, outcome);
     if (const auto *refusal = std::get_if<Refusal>(&outcome))
         return *refusal;
     return placed(request, std::get<BalancedChoice>(outcome), m_self);
@@ -223,8 +225,10 @@
     }
     const auto outcome = balancer->place(request, now);
     PlacementAnswer answer{request.attempt, request.service, request.sending, PlacementWaits{}};
-    if (outcome)
+    if (outcome) {
+        logRefusal(request, *outcome);
         answer = placement_detail::answerOf(request, *outcome);
+    }
     m_link.send(from, answer);
 }
 
@@ -269,9 +273,30 @@
         deliver(decision);
 }
 
+template <PlacementPeers Link>
+void SharedPlacement<Link>::logRefusal(const PlacementRequest &request,
+                                       const ServiceBalancer::Outcome &outcome)
+{
+    const auto *refusal = std::get_if<Refusal>(&outcome);
+    if (refusal == nullptr)
+        return;
+    const ServiceBalancer &balancer = *find(request.service);
+    m_log.info("Placement refused",
+               {field("id", request.attempt.request), field("host", request.attempt.host),
+                field("service", request.service),
+                field("reason", describe(refusal->reason).name),
+                field("waiting", balancer.waiting()), field("targets", balancer.targetCount()),
+                field("usual_ms", toMilliseconds(balancer.usualTime()).count()),
+                field("objective_ms", request.objective.count()),
+                field("left_ms", request.remaining.count()),
+                field("retry_after_ms",
+                      refusal->retryAfter.value_or(Milliseconds(0)).count())});
+}
+
 template <PlacementPeers Link>
 void SharedPlacement<Link>::deliver(const PlacementDecision &decision)
 {
+    logRefusal(decision.request, decision.outcome);
     const PlacementAnswer answer = placement_detail::answerOf(decision.request, decision.outcome);
     const HostId asking = decision.request.attempt.host;
     if (asking != m_self) {
--- a/include/endivedock/edge/shared_placement.h
+++ b/include/endivedock/edge/shared_placement.h
@@ -106,6 +106,7 @@
                                                const PlacementAnswer &answer);
     PlacedTarget placed(const PlacementRequest &request, const BalancedChoice &choice,
                         HostId placedBy);
+    void logRefusal(const PlacementRequest &request, const ServiceBalancer::Outcome &outcome);
     void deliver(const PlacementDecision &decision);
     void dispatch(ServiceBalancer &balancer, TimePoint now);
 
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -281,7 +281,7 @@
         malformed = error.refusal();
     } catch (const CallerError &error) {
         broken = true;
-        m_log.info("Caller gone", {field("request", request->plan.callerId),
+        m_log.info("Caller gone", {field("request", request->plan.callerId), field("id", request->id),
                                    field("service", request->plan.service),
                                    field("after_ms", toMilliseconds(SteadyClock().now() -
                                                                     request->arrivedAt)
@@ -517,7 +517,7 @@
     report.time = gateway_detail::microsecondsSince(startedAt);
     request->targetTime += report.time;
     m_log.info("Attempt ended",
-               {field("request", request->plan.callerId), field("target", target.placement.target),
+               {field("request", request->plan.callerId), field("id", request->id), field("target", target.placement.target),
                 field("service", request->plan.service), field("outcome", name(result.outcome)),
                 field("attempt", request->tried.size() + 1),
                 field("took_ms", report.time.count() / 1000),
@@ -652,7 +652,7 @@
                              {"run", notRun ? "not-run" : "may-have-run"}});
     const RefusalAnswer answer = m_front.refuse(refusal, request->head, request->id);
     m_log.info("Rejected",
-               {field("request", request->plan.callerId), field("service", request->plan.service),
+               {field("request", request->plan.callerId), field("id", request->id), field("service", request->plan.service),
                 field("reason", description.name), field("run", notRun ? "not-run" : "may-have-run"),
                 field("status", answer.head.status),
                 field("retry_after_ms", refusal.retryAfter.value_or(Milliseconds(0)).count()),
--- a/include/endivedock/telemetry/log.h
+++ b/include/endivedock/telemetry/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <sstream>
 #include <string>
@@ -26,11 +27,16 @@
 
 /**
  * The log of one part. A line is: time, level, "part:", a short sentence, name=value fields.
- * Values with spaces or quotes are quoted. Lines go to standard error; no file is written.
+ * Values with spaces or quotes are quoted. Lines go to standard output; no file is written. Of each
+ * sentence only so many lines are written in a second, and a line tells how many were left out; a
+ * reader that is too slow loses lines, but never holds up the process.
  */
 class Log
 {
 public:
+    /** Lines of one sentence in a second. */
+    static constexpr std::uint32_t mostLines = 100;
+
     /** @param part  the fixed prefix; static lifetime */
     explicit Log(std::string_view part)
         : m_part(part)
@@ -44,6 +50,7 @@
 
 private:
     std::string line(std::string_view sentence, std::initializer_list<LogField> fields) const;
+    bool mayWrite(std::string_view sentence) const;
 
     std::string_view m_part;
 };
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,5 +1,13 @@
 #include "endivedock/telemetry/log.h"
 
+#include <chrono>
+#include <iostream>
+#include <map>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 // The library is compiled as a part of this unit; it must not open its default log file, since
 // hosts have no disks.
 #define ELPP_NO_DEFAULT_LOG_FILE
@@ -18,6 +26,31 @@
 
 namespace {
 
+/** What was written of one sentence in the present second. */
+struct SentenceBudget
+{
+    std::int64_t second = 0;
+    std::uint32_t written = 0;
+    std::uint64_t leftOut = 0;
+};
+
+std::int64_t steadySecond()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
+/** A pipe whose reader is too slow refuses a line instead of holding the process up. */
+void leaveBlockedPipes()
+{
+    struct stat state{};
+    if (fstat(STDOUT_FILENO, &state) != 0 || !S_ISFIFO(state.st_mode))
+        return;
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 bool needsQuotes(const std::string &value)
 {
     return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string::npos;
@@ -48,28 +81,58 @@
     return text;
 }
 
+bool Log::mayWrite(std::string_view sentence) const
+{
+    // Sentences are literals, so there are few of them.
+    static std::map<std::string, SentenceBudget, std::less<>> budgets;
+    if (!std::cout)
+        std::cout.clear(); // The last line was refused by a slow reader, and is lost.
+    const std::int64_t second = steadySecond();
+    auto found = budgets.find(sentence);
+    if (found == budgets.end())
+        found = budgets.emplace(std::string(sentence), SentenceBudget{}).first;
+    SentenceBudget &budget = found->second;
+    if (budget.second != second) {
+        if (budget.leftOut > 0)
+            LOG(INFO) << line("Lines left out",
+                              {field("sentence", sentence), field("lines", budget.leftOut)});
+        budget = {second, 0, 0};
+    }
+    if (budget.written >= mostLines) {
+        ++budget.leftOut;
+        return false;
+    }
+    ++budget.written;
+    return true;
+}
+
 void Log::debug(std::string_view sentence, std::initializer_list<LogField> fields) const
 {
-    LOG(DEBUG) << line(sentence, fields);
+    if (mayWrite(sentence))
+        LOG(DEBUG) << line(sentence, fields);
 }
 
 void Log::info(std::string_view sentence, std::initializer_list<LogField> fields) const
 {
-    LOG(INFO) << line(sentence, fields);
+    if (mayWrite(sentence))
+        LOG(INFO) << line(sentence, fields);
 }
 
 void Log::warning(std::string_view sentence, std::initializer_list<LogField> fields) const
 {
-    LOG(WARNING) << line(sentence, fields);
+    if (mayWrite(sentence))
+        LOG(WARNING) << line(sentence, fields);
 }
 
 void Log::error(std::string_view sentence, std::initializer_list<LogField> fields) const
 {
-    LOG(ERROR) << line(sentence, fields);
+    if (mayWrite(sentence))
+        LOG(ERROR) << line(sentence, fields);
 }
 
 void configureLog(LogLevel lowest)
 {
+    leaveBlockedPipes();
     el::Configurations settings;
     settings.setToDefault();
     settings.setGlobally(el::ConfigurationType::Format,
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,234 @@
+"""Stand-ins for the platform's store, targets and callers, and a proxy that harms connections.
+
+All run on one asyncio loop, so that the soak sees every request from both sides.
+"""
+import asyncio
+import base64
+import json
+import random
+import time
+import urllib.parse
+
+
+async def read_head(reader):
+    """Returns the first line and the fields in lower case, or None at the end."""
+    try:
+        text = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = text.decode("latin1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            fields[name.strip().lower()] = value.strip()
+    return lines[0], fields
+
+
+def message(status, body, fields=()):
+    head = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    head += [f"{name}: {value}" for name, value in fields]
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+class Store:
+    """Keys with revisions, conditions and watches, as the adapter speaks them."""
+
+    def __init__(self):
+        self.items, self.revision, self.history = {}, 10, []
+        self.changed = asyncio.Condition()
+        self.down, self.lose = False, 0.0
+        self.acknowledged = {}
+
+    async def put(self, key, value):
+        self.revision += 1
+        self.items[key] = (value, self.revision)
+        self.history.append((self.revision, key, value))
+        self.acknowledged[key] = time.monotonic()
+        async with self.changed:
+            self.changed.notify_all()
+        return self.revision
+
+    async def remove(self, key):
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self.history.append((self.revision, key, None))
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget(self):
+        self.history = []
+
+    @staticmethod
+    def item(key, value, revision):
+        if value is None:
+            return {"key": key, "revision": revision, "deleted": True}
+        return {"key": key, "value": base64.b64encode(value.encode()).decode(),
+                "revision": revision, "created_rev": revision, "lease": 0}
+
+    async def watch(self, query):
+        after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            oldest = self.history[0][0] if self.history else self.revision + 1
+            if after + 1 < oldest and after < self.revision:
+                return 410, {}
+            events = [self.item(k, v, r) for r, k, v in self.history if r > after]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "as_of": self.revision}
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+    async def transact(self, body):
+        for row in body["expected"]:
+            if self.items.get(row["key"], (None, 0))[1] != row["revision"]:
+                found = [self.item(r["key"], *self.items[r["key"]]) for r in body["expected"]
+                         if r["key"] in self.items]
+                return 412, {"items": found}
+        for row in body["puts"]:
+            await self.put(row["key"], base64.b64decode(row["value"]).decode())
+        return 200, {"revision": self.revision}
+
+    async def answer(self, line, body):
+        method, target, _ = line.split(" ", 2)
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        if self.down:
+            return 503, {}
+        if url.path == "/-/kv-watch":
+            return await self.watch(query)
+        if url.path == "/-/kv-range":
+            items = [self.item(k, v, r) for k, (v, r) in sorted(self.items.items())]
+            return 200, {"items": items, "has_more": False, "as_of": self.revision}
+        if url.path == "/-/kv-key":
+            found = self.items.get(query["key"])
+            return (200, self.item(query["key"], *found)) if found else (404, {})
+        if url.path == "/-/kv-txn":
+            return await self.transact(json.loads(body))
+        return 404, {}
+
+    async def serve(self, reader, writer):
+        try:
+            while head := await read_head(reader):
+                body = await reader.readexactly(int(head[1].get("content-length", 0)))
+                status, answer = await self.answer(head[0], body)
+                if random.random() < self.lose:
+                    break
+                writer.write(message(status, json.dumps(answer).encode()))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        writer.close()
+
+
+class Worker:
+    """One target: slots, a queue, coldness, and a record of what it ran and when."""
+
+    def __init__(self, ident, service, zone, log, rng):
+        self.ident, self.service, self.zone, self.log, self.rng = ident, service, zone, log, rng
+        self.slots, self.running, self.waiting = 4, 0, 0
+        self.free = asyncio.Semaphore(self.slots)
+        self.cold_until, self.crashed, self.faulty, self.slowdown = 0.0, False, 0.0, 1.0
+        self.address, self.writers, self.cold_starts = None, set(), []
+
+    def entry(self, state="ready"):
+        cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
+        return json.dumps({"address": self.address, "born": 1,
+                           "info": {"service": self.service, "version": "v1", "zone": self.zone,
+                                    "capacity": self.slots},
+                           "status": {"state": state, "seq": 1, "warmup_left_ms": cold}})
+
+    def fields(self):
+        load = f"{self.running},{self.waiting},{self.slots},{int(self.slowdown * 100)}"
+        return [("Server-Load", load), ("Instance-Id", self.ident), ("Keep-Alive", "timeout=10")]
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while (head := await read_head(reader)) and not self.crashed:
+                body = await reader.readexactly(int(head[1].get("content-length", 0)))
+                writer.write(await self.answer(head, body))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        self.writers.discard(writer)
+        writer.close()
+
+    async def answer(self, head, body):
+        line, fields = head
+        ident = fields.get("request-id")
+        if " /healthz" in line:
+            left = max(0, int((self.cold_until - time.monotonic()) * 1000))
+            cold = [("Warmup-Ms", left)] if left else []
+            return message(200, b"", self.fields() + cold)
+        if fields.get("target-instance", self.ident) != self.ident:
+            return message(421, b"", self.fields())
+        if self.waiting >= 8:
+            return message(503, b"", self.fields() + [("Not-Executed", "1"), ("Request-Id", ident)])
+        now = time.monotonic()
+        if now < self.cold_until:
+            self.cold_starts.append(now)
+        self.log.ran(ident, self, line, now)
+        self.waiting += 1
+        async with self.free:
+            self.waiting -= 1
+            self.running += 1
+            await asyncio.sleep(self.rng.uniform(0.02, 0.05) * self.slowdown)
+            self.running -= 1
+        if self.rng.random() < self.faulty:
+            return message(500, b"", self.fields() + [("Request-Id", ident)])
+        text = f"{ident} {len(body)} {self.service}".encode()
+        return message(200, text, self.fields() + [("Request-Id", ident),
+                                                   ("Response-Signature", "sig")])
+
+    def crash(self):
+        self.crashed = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def restart(self, cold):
+        self.crashed, self.cold_until = False, time.monotonic() + cold
+
+
+class Proxy:
+    """Passes connections to one address on, and delays, silences or resets them."""
+
+    def __init__(self, target):
+        self.target, self.delay = target, 0.0
+        self.silent, self.one_way, self.refuse = False, False, False
+        self.pairs = set()
+
+    def reset(self):
+        for writer in list(self.pairs):
+            writer.transport.abort()
+
+    async def pump(self, reader, writer, answers):
+        try:
+            while data := await reader.read(65536):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                while self.silent or (self.one_way and answers):
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+    async def serve(self, reader, writer):
+        if self.refuse:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.pairs |= {writer, far_writer}
+        await asyncio.gather(self.pump(reader, far_writer, False),
+                             self.pump(far_reader, writer, True))
+        self.pairs -= {writer, far_writer}
