--- a/include/endivedock/balancing/balancing_settings.h
+++ b/include/endivedock/balancing/balancing_settings.h
@@ -37,7 +37,8 @@
     Milliseconds pictureAge{1000};
     /** With a request in flight and no answer for longer than this, a target may have stopped. */
     Milliseconds silence{400};
-    /** After a failed connection a target is left alone for this time, doubling up to the longest. */
+    /** After a failed connection a target is left alone for this time, doubling up to the longest.
+     */
     Milliseconds firstAbsence{250};
     Milliseconds longestAbsence{2000};
     Milliseconds probeInterval{250};
--- a/include/endivedock/balancing/target_state.h
+++ b/include/endivedock/balancing/target_state.h
@@ -78,7 +78,12 @@
     bool absent(TimePoint now) const { return now < m_absentUntil || m_unverified; }
     bool unverified() const { return m_unverified; }
     void connectionFailed(TimePoint now, const BalancingSettings &settings);
-    void verified() { m_unverified = false; m_failures = 0; m_absentUntil = TimePoint{}; }
+    void verified()
+    {
+        m_unverified = false;
+        m_failures = 0;
+        m_absentUntil = TimePoint{};
+    }
     bool takeProbe(TimePoint now, Milliseconds interval);
 
     TargetHealth &health() { return m_health; }
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -68,9 +68,8 @@
                 })
     , m_prober(m_executor, &P::readProbe,
                [this](const ServiceId &service, const TargetId &target,
-                      const std::optional<TargetProbe> &probe, const std::string &failure) {
-                   takeProbe(service, target, probe, failure);
-               })
+                      const std::optional<TargetProbe> &probe,
+                      const std::string &failure) { takeProbe(service, target, probe, failure); })
     , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random},
                 P::makeFront({m_registry, m_turns}), m_placement, m_noKeys)
     , m_readiness(m_executor, m_settings.readiness,
@@ -85,11 +84,10 @@
     startTask(m_executor, "registration", registerOnce());
     startTask(m_executor, "news", tradeNews());
     startTask(m_executor, "first-copy", askFirstCopy());
-    m_log.info("Started",
-               {field("name", m_settings.name), field("zone", m_settings.zone),
-                field("callers", formatAddress(m_settings.callers)),
-                field("peer", formatAddress(m_settings.peer)),
-                field("store", formatAddress(m_settings.store))});
+    m_log.info("Started", {field("name", m_settings.name), field("zone", m_settings.zone),
+                           field("callers", formatAddress(m_settings.callers)),
+                           field("peer", formatAddress(m_settings.peer)),
+                           field("store", formatAddress(m_settings.store))});
 }
 
 template <EdgePlatform P>
@@ -113,8 +111,9 @@
     if (m_storeLost) {
         m_storeLost = false;
         m_registry.storeReturned(now);
-        m_log.info("Store regained", {field("away_ms", toMilliseconds(now - m_storeAnsweredAt).count()),
-                                      field("revision", m_registry.revision())});
+        m_log.info("Store regained",
+                   {field("away_ms", toMilliseconds(now - m_storeAnsweredAt).count()),
+                    field("revision", m_registry.revision())});
     }
     m_storeAnsweredAt = now;
 }
@@ -124,8 +123,8 @@
 {
     m_metrics.count("endivedock_store_failures_total");
     if (!m_storeLost)
-        m_log.warning("Store lost", {field("error", error),
-                                     field("revision", m_registry.revision())});
+        m_log.warning("Store lost",
+                      {field("error", error), field("revision", m_registry.revision())});
     m_storeLost = true;
 }
 
@@ -133,8 +132,7 @@
 Task<> EdgeHost<P>::followStore()
 {
     const TimePoint startedAt = SteadyClock().now();
-    const bool seeded =
-            m_settings.firstStart && !m_settings.seeds.empty() && !m_settings.isSeed;
+    const bool seeded = m_settings.firstStart && !m_settings.seeds.empty() && !m_settings.isSeed;
     if (m_settings.firstStart)
         co_await sleepFor(edge_detail::startSpread);
     while (true) {
@@ -258,8 +256,8 @@
 {
     TimePoint nextNews = SteadyClock().now();
     while (true) {
-        const Milliseconds interval = m_placement.anyWaiting() ? edge_detail::waitingInterval
-                                                               : edge_detail::tickInterval;
+        const Milliseconds interval =
+                m_placement.anyWaiting() ? edge_detail::waitingInterval : edge_detail::tickInterval;
         const TimePoint due = SteadyClock().now() + interval;
         co_await sleepFor(interval);
         const TimePoint woken = SteadyClock().now();
@@ -283,8 +281,7 @@
 }
 
 template <EdgePlatform P>
-HostNews EdgeHost<P>::newsFor(const std::vector<ServiceId> &services, HostId placing,
-                              TimePoint now)
+HostNews EdgeHost<P>::newsFor(const std::vector<ServiceId> &services, HostId placing, TimePoint now)
 {
     HostNews news;
     for (const auto &service : services) {
@@ -322,8 +319,7 @@
 HostPicture EdgeHost<P>::relay(HostId from, const HostNews &news, TimePoint now)
 {
     HostPicture picture;
-    for (const auto &service : news.services)
-    {
+    for (const auto &service : news.services) {
         std::vector<TargetNews> granted;
         ServiceBalancer *balancer = m_placement.find(service.service);
         if (balancer != nullptr && from != m_self)
@@ -452,10 +448,9 @@
             continue;
         }
         if (known == m_moves.end() || known->second.order.revision != running->revision) {
-            m_log.info("Move ordered",
-                       {field("service", service), field("to", running->to),
-                        field("duration_ms", running->duration.count()),
-                        field("revision", running->revision)});
+            m_log.info("Move ordered", {field("service", service), field("to", running->to),
+                                        field("duration_ms", running->duration.count()),
+                                        field("revision", running->revision)});
             m_moves[service] = Move{*running, now, std::nullopt, {}, {}, false};
             balancer->setMoveShare(Share(0));
             startTask(m_executor, "verdict", writeVerdict(service, MoveState::Running));
@@ -520,9 +515,9 @@
     swaps.push_back({entry.key, known ? known->modified : Revision(0), entry.value});
     try {
         const SwapResult result = co_await m_callStore.compareAndSwap(std::move(swaps), noLease);
-        m_log.info("Verdict written", {field("service", service), field("to", order.to),
-                                       field("swapped", result.swapped),
-                                       field("value", entry.value)});
+        m_log.info("Verdict written",
+                   {field("service", service), field("to", order.to),
+                    field("swapped", result.swapped), field("value", entry.value)});
     } catch (const Error &error) {
         m_log.warning("A verdict could not be written",
                       {field("service", service), field("error", error.what())});
@@ -549,8 +544,8 @@
                             const std::optional<TargetProbe> &probe, const std::string &failure)
 {
     if (!probe)
-        m_log.info("Probe failed", {field("service", service), field("target", target),
-                                    field("error", failure)});
+        m_log.info("Probe failed",
+                   {field("service", service), field("target", target), field("error", failure)});
     if (ServiceBalancer *balancer = m_placement.find(service))
         balancer->probed(target, probe, SteadyClock().now());
 }
--- a/include/endivedock/edge/reader_choice.h
+++ b/include/endivedock/edge/reader_choice.h
@@ -10,8 +10,8 @@
 
 /**
  * Which hosts read the platform's store, so that its load does not grow with the fleet: the first
- * few in an order that all hosts share, the strongest first. Readers tell all others that they read;
- * one that is not heard is passed over, and the next one begins.
+ * few in an order that all hosts share, the strongest first. Readers tell all others that they
+ * read; one that is not heard is passed over, and the next one begins.
  */
 class ReaderChoice
 {
--- a/include/endivedock/edge/registry.h
+++ b/include/endivedock/edge/registry.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "endivedock/balancing.h"
-#include "endivedock/edge/registry_messages.h"
 #include "endivedock/core.h"
+#include "endivedock/edge/registry_messages.h"
 #include "endivedock/routes.h"
 #include "endivedock/store/store_concept.h"
 #include "endivedock/telemetry.h"
--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -138,9 +138,9 @@
 }
 
 template <PlacementPeers Link>
-std::variant<PlacedTarget, Refusal>
-SharedPlacement<Link>::settle(const PlacementRequest &request, HostId placedBy,
-                              const PlacementAnswer &answer)
+std::variant<PlacedTarget, Refusal> SharedPlacement<Link>::settle(const PlacementRequest &request,
+                                                                  HostId placedBy,
+                                                                  const PlacementAnswer &answer)
 {
     if (const auto *refusal = std::get_if<Refusal>(&answer.outcome))
         return *refusal;
@@ -283,14 +283,12 @@
     const ServiceBalancer &balancer = *find(request.service);
     m_log.info("Placement refused",
                {field("id", request.attempt.request), field("host", request.attempt.host),
-                field("service", request.service),
-                field("reason", describe(refusal->reason).name),
+                field("service", request.service), field("reason", describe(refusal->reason).name),
                 field("waiting", balancer.waiting()), field("targets", balancer.targetCount()),
                 field("usual_ms", toMilliseconds(balancer.usualTime()).count()),
                 field("objective_ms", request.objective.count()),
                 field("left_ms", request.remaining.count()),
-                field("retry_after_ms",
-                      refusal->retryAfter.value_or(Milliseconds(0)).count())});
+                field("retry_after_ms", refusal->retryAfter.value_or(Milliseconds(0)).count())});
 }
 
 template <PlacementPeers Link>
--- a/include/endivedock/edge/shared_placement.h
+++ b/include/endivedock/edge/shared_placement.h
@@ -40,9 +40,9 @@
 };
 
 /**
- * Source of placements of one host: asks the placing host of the service, which may be this one, and
- * places by itself where no answer comes in time. Also answers other hosts for the services that
- * this host places.
+ * Source of placements of one host: asks the placing host of the service, which may be this one,
+ * and places by itself where no answer comes in time. Also answers other hosts for the services
+ * that this host places.
  *
  * @tparam Link  the way to the other hosts; outlives this object
  */
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -178,8 +178,8 @@
         session->open[request->number] = request;
         co_await refuse(session, request, *malformed);
         finishRequest(*session, *request);
-        co_await session->caller.readHead({Bytes(1024), gateway_detail::lingerTime,
-                                           gateway_detail::lingerTime});
+        co_await session->caller.readHead(
+                {Bytes(1024), gateway_detail::lingerTime, gateway_detail::lingerTime});
         co_return;
     }
 }
@@ -281,12 +281,12 @@
         malformed = error.refusal();
     } catch (const CallerError &error) {
         broken = true;
-        m_log.info("Caller gone", {field("request", request->plan.callerId), field("id", request->id),
-                                   field("service", request->plan.service),
-                                   field("after_ms", toMilliseconds(SteadyClock().now() -
-                                                                    request->arrivedAt)
-                                                             .count()),
-                                   field("error", error.what())});
+        m_log.info("Caller gone",
+                   {field("request", request->plan.callerId), field("id", request->id),
+                    field("service", request->plan.service),
+                    field("after_ms",
+                          toMilliseconds(SteadyClock().now() - request->arrivedAt).count()),
+                    field("error", error.what())});
     }
     if (malformed) {
         request->terms.keepAlive = false;
@@ -351,8 +351,8 @@
 }
 
 template <FrontEnd F, PlacementSource P, RunGuard R>
-Task<typename GatewayServer<F, P, R>::Result>
-GatewayServer<F, P, R>::runClaimed(SessionPtr session, RequestPtr request)
+Task<typename GatewayServer<F, P, R>::Result> GatewayServer<F, P, R>::runClaimed(SessionPtr session,
+                                                                                 RequestPtr request)
 {
     if (!request->plan.runKey)
         co_return co_await runAttempts(session, request);
@@ -391,8 +391,8 @@
     result.body = Bytes(request.head.framing.length.value_or(request.bodyStart.size()));
     result.connected = m_pool.connected();
     if (request.plan.objective.count() > 0)
-        result.objective = request.plan.objective -
-                           toMilliseconds(SteadyClock().now() - request.arrivedAt);
+        result.objective =
+                request.plan.objective - toMilliseconds(SteadyClock().now() - request.arrivedAt);
     return result;
 }
 
@@ -513,17 +513,18 @@
     report.outcome = result.outcome;
     report.time = gateway_detail::microsecondsSince(startedAt);
     request->targetTime += report.time;
-    m_log.info("Attempt ended",
-               {field("request", request->plan.callerId), field("id", request->id), field("target", target.placement.target),
-                field("service", request->plan.service), field("outcome", name(result.outcome)),
-                field("attempt", request->tried.size() + 1),
-                field("took_ms", report.time.count() / 1000),
-                field("config", request->plan.configuration),
-                field("left_ms", toMilliseconds(request->plan.deadline - SteadyClock().now()).count()),
-                field("running", report.load ? report.load->running.value() : -1),
-                field("waiting", report.load ? report.load->waiting.value() : -1),
-                field("slowdown", report.load ? report.load->slowdown : -1),
-                field("cause", cause.empty() ? "-" : cause)});
+    m_log.info(
+            "Attempt ended",
+            {field("request", request->plan.callerId), field("id", request->id),
+             field("target", target.placement.target), field("service", request->plan.service),
+             field("outcome", name(result.outcome)), field("attempt", request->tried.size() + 1),
+             field("took_ms", report.time.count() / 1000),
+             field("config", request->plan.configuration),
+             field("left_ms", toMilliseconds(request->plan.deadline - SteadyClock().now()).count()),
+             field("running", report.load ? report.load->running.value() : -1),
+             field("waiting", report.load ? report.load->waiting.value() : -1),
+             field("slowdown", report.load ? report.load->slowdown : -1),
+             field("cause", cause.empty() ? "-" : cause)});
     co_return result;
 }
 
@@ -575,9 +576,10 @@
             throw TargetError("the answer is not one to this request", false);
         while (body.size() <= gateway_detail::keptAnswerBytes) {
             const std::size_t filled = body.size();
-            body.resize(filled + std::min<std::size_t>(
-                                         std::max<std::size_t>(head.framing.length.value_or(0), 2048),
-                                         32 * 1024));
+            body.resize(filled +
+                        std::min<std::size_t>(
+                                std::max<std::size_t>(head.framing.length.value_or(0), 2048),
+                                32 * 1024));
             const std::size_t count =
                     co_await target.readBody({body.data() + filled, body.size() - filled});
             body.resize(filled + count);
@@ -599,7 +601,8 @@
         result.outcome = shown.draining ? AttemptOutcome::Draining : AttemptOutcome::Shed;
         co_return result;
     }
-    std::erase_if(head.fields, [this](const HeaderField &field) { return m_front.isInternal(field); });
+    std::erase_if(head.fields,
+                  [this](const HeaderField &field) { return m_front.isInternal(field); });
     m_front.finish(head.fields, request->id);
     if (!target.answerComplete())
         co_return co_await passOn(session, request, target, report, std::move(head),
@@ -649,8 +652,9 @@
                              {"run", notRun ? "not-run" : "may-have-run"}});
     const RefusalAnswer answer = m_front.refuse(refusal, request->head, request->id);
     m_log.info("Rejected",
-               {field("request", request->plan.callerId), field("id", request->id), field("service", request->plan.service),
-                field("reason", description.name), field("run", notRun ? "not-run" : "may-have-run"),
+               {field("request", request->plan.callerId), field("id", request->id),
+                field("service", request->plan.service), field("reason", description.name),
+                field("run", notRun ? "not-run" : "may-have-run"),
                 field("status", answer.head.status),
                 field("retry_after_ms", refusal.retryAfter.value_or(Milliseconds(0)).count()),
                 field("attempts", request->tried.size()),
--- a/include/endivedock/moves/evidence.h
+++ b/include/endivedock/moves/evidence.h
@@ -43,7 +43,8 @@
 public:
     void answered(MoveSide side, RouteIndex route, bool failed, Microseconds time, TimePoint now);
 
-    /** @return a route on which the new version is worse beyond reasonable doubt, if there is one */
+    /** @return a route on which the new version is worse beyond reasonable doubt, if there is one
+     */
     std::optional<FaultEvidence> fault() const;
     /** @return answers of the new version since resetStep() */
     int newAnswersInStep() const { return m_newInStep; }
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -137,10 +137,10 @@
     if (!m_rules.warmupRate || m_rules.warmupRate->value() <= 0)
         return Duration::zero();
     const double rate = m_rules.warmupRate->value();
-    const double interval = manner == Manner::Central
-                                    ? 1 / (rate * m_settings.coldRate.value())
-                                    : static_cast<double>(m_hosts) /
-                                              (rate * m_settings.aloneColdRate.value());
+    const double interval =
+            manner == Manner::Central
+                    ? 1 / (rate * m_settings.coldRate.value())
+                    : static_cast<double>(m_hosts) / (rate * m_settings.aloneColdRate.value());
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(interval));
 }
 
@@ -243,8 +243,7 @@
         const bool cold = target.cold(now);
         if (!cold) {
             result.rate += room / work;
-            result.leastWork =
-                    result.leastWork == 0 ? work : std::min(result.leastWork, work);
+            result.leastWork = result.leastWork == 0 ? work : std::min(result.leastWork, work);
         }
         if (cold && !target.coldAllowance(now))
             continue;
@@ -287,8 +286,8 @@
 Refusal ServiceBalancer::refuse(RefusalReason reason, Milliseconds retryAfter)
 {
     ++m_counters.rejected;
-    const auto spread = static_cast<std::int64_t>(
-            drawUnit(m_random) * static_cast<double>(retryAfter.count()));
+    const auto spread =
+            static_cast<std::int64_t>(drawUnit(m_random) * static_cast<double>(retryAfter.count()));
     return {reason, RunCertainty::NotRun, retryAfter + Milliseconds(spread)};
 }
 
@@ -311,7 +310,8 @@
 {
     const double remaining = static_cast<double>(request.remaining.count());
     const double objective = static_cast<double>(request.objective.count());
-    const double worthwhile = std::max(objective * worthwhileObjectives, remaining * worthwhilePart);
+    const double worthwhile =
+            std::max(objective * worthwhileObjectives, remaining * worthwhilePart);
     const double latest = std::min(remaining * m_settings.latestFinish.value(), worthwhile);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(latest));
 }
@@ -322,8 +322,8 @@
     return m_moveShare < packedBelow ? Spread::Packed : Spread::Even;
 }
 
-ServiceBalancer::Verdict ServiceBalancer::decide(const PlacementRequest &request,
-                                                 std::size_t ahead, Duration waited, TimePoint now)
+ServiceBalancer::Verdict ServiceBalancer::decide(const PlacementRequest &request, std::size_t ahead,
+                                                 Duration waited, TimePoint now)
 {
     const bool moving = m_versions.running().has_value();
     const bool moved = moving && m_moveShare >= Share(1);
@@ -475,7 +475,8 @@
     const RegisteredTarget &entry = target.registered();
     if (entry.draining || m_zonesOut.contains(entry.zone) || !m_versions.side(entry.version))
         return std::nullopt;
-    Candidate chosen{&target, expectedWork(target, now), target.inFlight(now, m_settings).value(), 0};
+    Candidate chosen{&target, expectedWork(target, now), target.inFlight(now, m_settings).value(),
+                     0};
     return track(request, placement.grant, placedBy, chosen, now);
 }
 
@@ -709,7 +710,8 @@
     if (probe && probe->id == id && probe->load)
         target.noteSlowdown({probe->load->slowdown, now});
     if (!probe || !probe->healthy || probe->id != id) {
-        // Health answers can be false either way, so only a connection that fails counts as absence.
+        // Health answers can be false either way, so only a connection that fails counts as
+        // absence.
         if (!probe && target.unverified())
             target.connectionFailed(now, m_settings);
         else if (probe && probe->id == id)
--- a/src/edge/reader_choice.cpp
+++ b/src/edge/reader_choice.cpp
@@ -6,7 +6,8 @@
 
 bool ReaderChoice::Rank::before(const Rank &other) const
 {
-    // Ids are hashes of names, so hosts of one strength and different zones take turns in the order.
+    // Ids are hashes of names, so hosts of one strength and different zones take turns in the
+    // order.
     return capacity != other.capacity ? capacity > other.capacity : id < other.id;
 }
 
--- a/src/edge/registry.cpp
+++ b/src/edge/registry.cpp
@@ -24,9 +24,9 @@
         fact = m_reader(entry);
     } catch (const RegistryError &error) {
         // One bad entry must not hide the others; it names nothing that may be used.
-        m_log.warning("Entry cannot be read", {field("key", entry.key),
-                                               field("revision", entry.modified),
-                                               field("error", error.what())});
+        m_log.warning("Entry cannot be read",
+                      {field("key", entry.key), field("revision", entry.modified),
+                       field("error", error.what())});
     }
     if (const auto *configuration = std::get_if<ConfigurationFact>(&fact)) {
         if (m_table && configuration->table->version() <= m_table->version()) {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -45,8 +45,7 @@
     const auto codings = header.count(http::field::transfer_encoding);
     const auto hosts = header.count(http::field::host);
     const bool coded = codings > 0;
-    const bool onlyChunked =
-            beast::iequals(header[http::field::transfer_encoding], "chunked");
+    const bool onlyChunked = beast::iequals(header[http::field::transfer_encoding], "chunked");
     const bool old = header.version() < httpOne + 1;
     if (lengths > 1 || codings > 1 || (lengths > 0 && coded) || (coded && (!onlyChunked || old)))
         throw CallerRequestError(RefusalReason::BadRequest);
@@ -62,7 +61,8 @@
     explicit Impl(asio::ip::tcp::socket socket)
         : m_stream(std::move(socket))
     {
-        boost::system::error_code ignored; // A caller that has gone already shows at the first read.
+        boost::system::error_code
+                ignored; // A caller that has gone already shows at the first read.
         m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
 
@@ -125,8 +125,7 @@
                 m_stream.expires_after(bodyPieceTimeout);
                 co_await http::async_read_some(m_stream, m_buffer, *m_parser,
                                                asio::redirect_error(asio::use_awaitable, error));
-                if (error.category() ==
-                            http::make_error_code(http::error::bad_method).category() &&
+                if (error.category() == http::make_error_code(http::error::bad_method).category() &&
                     error != http::error::need_buffer && error != http::error::end_of_stream &&
                     error != http::error::partial_message)
                     throw CallerRequestError(RefusalReason::BadRequest);
--- a/src/gateway/front_end.cpp
+++ b/src/gateway/front_end.cpp
@@ -64,7 +64,8 @@
                           {std::string(notRunField), notRun ? "true" : "false"},
                           {std::string(requestIdField), formatRequestId(id)}};
     if (description.retryAfter.count() > 0)
-        result.head.fields.push_back({"Retry-After", std::to_string(description.retryAfter.count())});
+        result.head.fields.push_back(
+                {"Retry-After", std::to_string(description.retryAfter.count())});
     return result;
 }
 
--- a/src/gateway/target_connection.cpp
+++ b/src/gateway/target_connection.cpp
@@ -118,8 +118,8 @@
     }
 
     /** @param self  keeps this object while the task writes */
-    Task<> writeAside([[maybe_unused]] std::shared_ptr<const void> owner, std::span<const char> body,
-                      std::shared_ptr<Impl> self)
+    Task<> writeAside([[maybe_unused]] std::shared_ptr<const void> owner,
+                      std::span<const char> body, std::shared_ptr<Impl> self)
     {
         try {
             co_await self->sendBody(body);
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -48,9 +48,8 @@
         , m_client(m_executor, {m_settings.id, m_configuration, m_metrics, m_random}, m_placers,
                    m_fleet)
         , m_runs(m_executor, m_settings.id, m_fleet, m_metrics)
-        , m_gateway(m_executor, m_settings.listen,
-                    {m_settings.id, m_metrics, m_random}, OwnFrontEnd(m_configuration), m_client,
-                    m_runs)
+        , m_gateway(m_executor, m_settings.listen, {m_settings.id, m_metrics, m_random},
+                    OwnFrontEnd(m_configuration), m_client, m_runs)
         , m_admin(m_executor, m_settings.admin,
                   [this](const HttpCall &call) { return adminPage(call); })
     {
--- a/src/moves/version_mover.cpp
+++ b/src/moves/version_mover.cpp
@@ -17,8 +17,8 @@
 namespace {
 
 /**
- * A fault that shows only under load shows in the last steps, which are short; what the steps before
- * have sent leaves room for them within a tenth of all requests.
+ * A fault that shows only under load shows in the last steps, which are short; what the steps
+ * before have sent leaves room for them within a tenth of all requests.
  */
 constexpr std::array<double, 6> shares{0.02, 0.05, 0.08, 0.30, 0.60, 1.0};
 constexpr int lastStep = static_cast<int>(shares.size()) - 1;
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -43,7 +43,9 @@
 /** A pipe whose reader is too slow refuses a line instead of holding the process up. */
 void leaveBlockedPipes()
 {
-    struct stat state{};
+    struct stat state
+    {
+    };
     if (fstat(STDOUT_FILENO, &state) != 0 || !S_ISFIFO(state.st_mode))
         return;
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
--- a/tests/balancing/balancing_test.cpp
+++ b/tests/balancing/balancing_test.cpp
@@ -195,9 +195,9 @@
                 if (!outcome || !std::holds_alternative<BalancedChoice>(*outcome))
                     continue;
                 sent.push_back(m_now);
-                alone[i].finish(makeReport(std::get<BalancedChoice>(*outcome),
-                                           AttemptOutcome::Answered),
-                                m_now);
+                alone[i].finish(
+                        makeReport(std::get<BalancedChoice>(*outcome), AttemptOutcome::Answered),
+                        m_now);
             }
             while (!sent.empty() && m_now - sent.front() >= Seconds(1))
                 sent.pop_front();
@@ -229,9 +229,9 @@
                 if (!outcome || !std::holds_alternative<BalancedChoice>(*outcome))
                     break;
                 retries += request.retry ? 1 : 0;
-                balancer.finish(makeReport(std::get<BalancedChoice>(*outcome),
-                                           AttemptOutcome::Answered),
-                                m_now);
+                balancer.finish(
+                        makeReport(std::get<BalancedChoice>(*outcome), AttemptOutcome::Answered),
+                        m_now);
             }
         }
         CPPUNIT_ASSERT(retries <= firsts * 0.2 + 62);
@@ -350,10 +350,10 @@
             const auto outcome = m_balancer.place(popular, m_now);
             CPPUNIT_ASSERT(outcome && std::holds_alternative<BalancedChoice>(*outcome));
             const bool lost = i % 4 == 0;
-            m_balancer.finish(makeReport(std::get<BalancedChoice>(*outcome),
-                                         lost ? AttemptOutcome::ConnectionLost
-                                              : AttemptOutcome::Answered),
-                              m_now);
+            m_balancer.finish(
+                    makeReport(std::get<BalancedChoice>(*outcome),
+                               lost ? AttemptOutcome::ConnectionLost : AttemptOutcome::Answered),
+                    m_now);
         }
     }
 
@@ -380,8 +380,8 @@
     }
 
     /**
-     * Soak seed 106: a host began to place while its targets were cut off; its first answer took half
-     * a second, so that it refused all requests and never saw that answers take 40 ms.
+     * Soak seed 106: a host began to place while its targets were cut off; its first answer took
+     * half a second, so that it refused all requests and never saw that answers take 40 ms.
      */
     void aWrongEstimateIsCorrected()
     {
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -160,8 +160,7 @@
         report.load = ReportedLoad{Slots(3), Slots(1), Slots(4), 2.5};
         const PeerHeader header{HostId(1), Incarnation(2), 3, HostId(4)};
         PeerHeader decoded;
-        const EdgeMessage message =
-                EdgeCodec::decode(EdgeCodec::encode(header, report), decoded);
+        const EdgeMessage message = EdgeCodec::decode(EdgeCodec::encode(header, report), decoded);
         CPPUNIT_ASSERT(decoded.receiver == HostId(4));
         CPPUNIT_ASSERT(std::get<AttemptReport>(message).load == report.load);
         const std::string text = EdgeCodec::encode(header, report);
@@ -223,8 +222,8 @@
                 Route route;
                 route.parts = {{ServiceId("quotes"), 1}};
                 return ConfigurationFact{std::make_shared<RoutingTable>(
-                        ConfigurationVersion(1), std::vector{route},
-                        std::vector<ServiceRules>{}, RequestLimits{})};
+                        ConfigurationVersion(1), std::vector{route}, std::vector<ServiceRules>{},
+                        RequestLimits{})};
             });
             const TimePoint now = SteadyClock().now();
             registry.applyChanges(change(1, "config", "1"), now);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -68,8 +68,8 @@
 
 std::string sizedRequest(std::size_t bytes)
 {
-    return "PUT /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-           std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x');
+    return "PUT /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) +
+           "\r\n\r\n" + std::string(bytes, 'x');
 }
 
 /** Sends @p text and reads until the server closes or has sent so many answers. */
@@ -201,8 +201,8 @@
     }
 
     /**
-     * A body without a length is known to be too long only after some of it has been sent on, unless
-     * it is kept whole before.
+     * A body without a length is known to be too long only after some of it has been sent on,
+     * unless it is kept whole before.
      */
     void longChunkedBodiesAreRefusedTruthfully()
     {
@@ -298,8 +298,7 @@
                     continue;
                 received.clear();
                 const std::string body = "{" + std::to_string(++requests) + "}";
-                const std::string answer =
-                        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + body;
+                const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + body;
                 co_await asio::async_write(socket, asio::buffer(answer),
                                            asio::redirect_error(asio::use_awaitable, error));
             }
@@ -326,8 +325,7 @@
 
     /** Sends one text after the other, each on a connection of its own. @return the last answer */
     static std::string exchangeWith(asio::io_context &context, const Address &target,
-                                    const std::vector<std::string> &texts, int maxBody,
-                                    int answers)
+                                    const std::vector<std::string> &texts, int maxBody, int answers)
     {
         configureLog(LogLevel::Error);
         NewestConfiguration configuration;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -103,8 +103,7 @@
         for (const std::string field : {"node_name", "zone", "listen", "provider", "ip"}) {
             std::string text(settingsText);
             text.replace(text.find('"' + field + '"'), field.size() + 2, "\"absent\"");
-            CPPUNIT_ASSERT_THROW_MESSAGE(field, parsePlatformSettings(text),
-                                         PlatformSettingsError);
+            CPPUNIT_ASSERT_THROW_MESSAGE(field, parsePlatformSettings(text), PlatformSettingsError);
         }
         CPPUNIT_ASSERT_THROW(parsePlatformSettings("{"), PlatformSettingsError);
     }
@@ -144,9 +143,13 @@
             "info": {"service": "s1", "version": "v1", "zone": "a", "capacity": 4},
             "status": {"state": "ready", "seq": 4, "warmup_left_ms": 0}})";
         const std::vector<std::pair<std::string, std::string>> spoilt{
-                {"\"ready\"", "\"asleep\""}, {"\"s1\"", "17"},      {"\"10.1.0.9:80\"", "\"x\""},
-                {": 4, \"warm", ": 4, \"w"}, {"\"capacity\": 4", "\"capacity\": \"4\""},
-                {"\"info\"", "\"other\""},   {"{", "\xff"}};
+                {"\"ready\"", "\"asleep\""},
+                {"\"s1\"", "17"},
+                {"\"10.1.0.9:80\"", "\"x\""},
+                {": 4, \"warm", ": 4, \"w"},
+                {"\"capacity\": 4", "\"capacity\": \"4\""},
+                {"\"info\"", "\"other\""},
+                {"{", "\xff"}};
         for (const auto &[from, to] : spoilt) {
             std::string text = good;
             text.replace(text.find(from), from.size(), to);
@@ -158,9 +161,8 @@
 
     void readsOrdersAndWritesVerdicts()
     {
-        const auto order = std::get<MoveOrder>(
-                read("op/rollout/s1",
-                     R"({"service": "s1", "target_version": "v2", "duration_s": 12})"));
+        const auto order = std::get<MoveOrder>(read(
+                "op/rollout/s1", R"({"service": "s1", "target_version": "v2", "duration_s": 12})"));
         CPPUNIT_ASSERT(order.to == VersionId("v2"));
         CPPUNIT_ASSERT(order.duration == Milliseconds(12'000));
         for (const auto state : {MoveState::Running, MoveState::Done, MoveState::TakenBack}) {
@@ -196,7 +198,8 @@
                        RefusalReason::BodyTooLarge);
         HeaderFields fields{{"Target-Instance", "forged"}, {"Request-Deadline-Ms", "300"}};
         m_front.prepare(fields, plan, {TargetId("i-1"), 0, Milliseconds(250)}, RequestId(1));
-        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), std::string(*findField(fields, "target-instance")));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
+                             std::string(*findField(fields, "target-instance")));
         CPPUNIT_ASSERT_EQUAL(std::string("250"),
                              std::string(*findField(fields, "request-deadline-ms")));
     }
@@ -211,8 +214,8 @@
             const auto maybe =
                     m_front.refuse({reason, RunCertainty::MayHaveRun}, head, RequestId(1));
             CPPUNIT_ASSERT(maybe.head.status == 502 || maybe.head.status == 504);
-            const auto never = m_front.refuse(
-                    {reason, RunCertainty::NotRun, Milliseconds(125)}, head, RequestId(1));
+            const auto never = m_front.refuse({reason, RunCertainty::NotRun, Milliseconds(125)},
+                                              head, RequestId(1));
             CPPUNIT_ASSERT(never.head.status == 503 || never.head.status < 500);
             if (never.head.status == 503)
                 CPPUNIT_ASSERT_EQUAL(std::string("0.125"),
@@ -244,8 +247,7 @@
 
     void readsLoadAndColdness()
     {
-        const auto load =
-                m_front.report(makeAnswer(200, {{"Server-Load", "3, 1,8,250"}})).load;
+        const auto load = m_front.report(makeAnswer(200, {{"Server-Load", "3, 1,8,250"}})).load;
         CPPUNIT_ASSERT(load == (ReportedLoad{Slots(3), Slots(1), Slots(8), 2.5}));
         CPPUNIT_ASSERT(!m_front.report(makeAnswer(200, {{"Server-Load", "3,x,8"}})).load);
         const auto probe = Platform::readProbe(makeAnswer(
@@ -259,15 +261,16 @@
     {
         const std::string value = encodeBase64("{}");
         const auto item = [&](const std::string &key, int revision) {
-            return R"({"key":")" + key + R"(","value":")" + value +
-                   R"(","revision":)" + std::to_string(revision) + "}";
+            return R"({"key":")" + key + R"(","value":")" + value + R"(","revision":)" +
+                   std::to_string(revision) + "}";
         };
         StoreSnapshot snapshot;
         withStore(
                 [&](const HttpCall &call) -> HttpResult {
                     if (call.path.find("after=") == std::string::npos)
-                        return {200, "", R"({"items":[)" + item("a b", 3) +
-                                                 R"(],"has_more":true,"as_of":7})"};
+                        return {200, "",
+                                R"({"items":[)" + item("a b", 3) +
+                                        R"(],"has_more":true,"as_of":7})"};
                     CPPUNIT_ASSERT(call.path.ends_with("after=a%20b"));
                     return {200, "",
                             R"({"items":[)" + item("c", 9) + R"(],"has_more":false,"as_of":9})"};
