--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -72,10 +72,18 @@
             self.process.send_signal(number)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(taken=set()):  # One set for all calls.
+    """Returns a port below those that the kernel gives to outgoing connections."""
+    while True:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken:
+            taken.add(port)
+            return port
 
 
 async def listen(handler):
