--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <limits>
 
-#include <xxhash.h>
-
 namespace endivedock {
 
 namespace {
@@ -26,10 +24,6 @@
 constexpr int mostPassedOver = 8;
 /** Waiting for a fast target must promise at least this much; both times are estimates. */
 constexpr double waitingGain = 1.5;
-/** Questions for loads that were not asked are made up for within this time, in seconds. */
-constexpr double mostTokenSeconds = 0.05;
-/** Loads are asked for as long as requests have come within this time. */
-constexpr Milliseconds busyTime{1500};
 /** A grant to another host is held for this long after its request's deadline. */
 constexpr Milliseconds grantMargin{300};
 /** If more of the targets look bad, the cause is elsewhere. */
@@ -64,14 +58,6 @@
 
 } // namespace
 
-TargetKey targetKey(const RegisteredTarget &target)
-{
-    const std::string &id = target.id.value();
-    const auto life = static_cast<XXH64_hash_t>(target.startedAt.value_or(0));
-    const XXH64_hash_t hash = XXH3_64bits_withSeed(id.data(), id.size(), life);
-    return TargetKey(static_cast<std::uint32_t>(hash));
-}
-
 ServiceBalancer::ServiceBalancer(ServiceId service, HostId self, const BalancingSettings &settings,
                                  Random &random)
     : m_service(std::move(service))
@@ -661,140 +647,4 @@
         m_baseline.failed = median(failed);
 }
 
-std::vector<ProbeTarget> ServiceBalancer::dueProbes(bool placing, TimePoint now)
-{
-    std::vector<ProbeTarget> result;
-    std::vector<std::pair<TimePoint, TargetState *>> unknownLoads;
-    const bool busy = placing && now - m_placedAt < busyTime;
-    for (auto &[id, target] : m_targets) {
-        const RegisteredTarget &entry = target.registered();
-        if (entry.draining || m_zonesOut.contains(entry.zone))
-            continue;
-        const bool doubtful = target.unverified() || target.cold(now);
-        // A cold target tells how long it stays cold; an absent one whether it is back.
-        const Milliseconds interval =
-                target.unverified() ? m_settings.probeInterval : m_settings.probeInterval * 4;
-        if (doubtful && target.takeProbe(now, interval)) {
-            result.push_back({id, entry.address});
-            continue;
-        }
-        const TimePoint reportedAt = target.slowdown().at;
-        if (busy && !target.unverified() && now - reportedAt > m_settings.reportAge)
-            unknownLoads.emplace_back(reportedAt, &target);
-    }
-    const std::chrono::duration<double> passed = now - m_reportTokensAt;
-    m_reportTokensAt = now;
-    const double most = m_settings.reportRate.value() * mostTokenSeconds;
-    m_reportTokens =
-            std::min(most, m_reportTokens + passed.count() * m_settings.reportRate.value());
-    std::sort(unknownLoads.begin(), unknownLoads.end());
-    for (const auto &[reportedAt, target] : unknownLoads) {
-        if (m_reportTokens < 1)
-            break;
-        if (!target->takeProbe(now, m_settings.reportAge))
-            continue;
-        m_reportTokens -= 1;
-        result.push_back({target->registered().id, target->registered().address});
-    }
-    m_counters.probes += result.size();
-    return result;
-}
-
-void ServiceBalancer::probed(const TargetId &id, const std::optional<TargetProbe> &probe,
-                             TimePoint now)
-{
-    const auto found = m_targets.find(id);
-    if (found == m_targets.end())
-        return;
-    TargetState &target = found->second;
-    if (probe && probe->id == id && probe->load)
-        target.noteSlowdown({probe->load->slowdown, now});
-    if (!probe || !probe->healthy || probe->id != id) {
-        // Health answers can be false either way, so only a connection that fails counts as
-        // absence.
-        if (!probe && target.unverified())
-            target.connectionFailed(now, m_settings);
-        else if (probe && probe->id == id)
-            target.verified();
-        return;
-    }
-    const bool wasAbsent = target.unverified();
-    target.verified();
-    const Milliseconds left = probe->coldFor.value_or(Milliseconds(0));
-    target.warmAt(now + left);
-    if (wasAbsent && left.count() > 0)
-        target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval(Manner::Alone) *
-                                                                   drawUnit(m_random)));
-}
-
-std::vector<TargetNews> ServiceBalancer::news(HostId placing, TimePoint now) const
-{
-    std::map<TargetId, int> unknown;
-    for (const auto &[id, grant] : m_grants) {
-        if (grant.sentBy == m_self && grant.placedBy != placing)
-            ++unknown[grant.target];
-    }
-    std::vector<TargetNews> result;
-    for (const auto &[id, count] : unknown) {
-        const auto target = m_targets.find(id);
-        if (target != m_targets.end())
-            result.push_back(newsOf(target->second, count, now));
-    }
-    return result;
-}
-
-TargetNews ServiceBalancer::newsOf(const TargetState &target, int inFlight, TimePoint now) const
-{
-    TargetNews entry;
-    entry.target = targetKey(target.registered());
-    entry.inFlight = static_cast<std::uint16_t>(inFlight);
-    const SlowdownReport &report = target.slowdown();
-    const Milliseconds age = toMilliseconds(now - report.at);
-    if (report.at == TimePoint{} || age > m_settings.burst * 4)
-        return entry;
-    entry.slowdown = static_cast<std::uint16_t>(std::clamp(report.slowdown * 100, 1.0, 60'000.0));
-    entry.age = age;
-    return entry;
-}
-
-std::vector<TargetNews> ServiceBalancer::granted(HostId except, TimePoint now) const
-{
-    std::map<TargetId, int> counts;
-    for (const auto &[id, grant] : m_grants) {
-        if (grant.placedBy == m_self && grant.sentBy != except)
-            ++counts[grant.target];
-    }
-    std::vector<TargetNews> result;
-    for (const auto &[id, target] : m_targets) {
-        const auto count = counts.find(id);
-        const TargetNews entry = newsOf(target, count == counts.end() ? 0 : count->second, now);
-        if (entry.inFlight > 0 || entry.slowdown > 0)
-            result.push_back(entry);
-    }
-    return result;
-}
-
-void ServiceBalancer::applyPicture(std::span<const TargetNews> others, TimePoint now)
-{
-    std::map<TargetKey, const TargetNews *> index;
-    for (const auto &entry : others)
-        index[entry.target] = &entry;
-    for (auto &[id, target] : m_targets) {
-        const auto found = index.find(targetKey(target.registered()));
-        if (found == index.end()) {
-            target.noteOthers(Slots(0), now);
-            continue;
-        }
-        const TargetNews &entry = *found->second;
-        target.noteOthers(Slots(entry.inFlight), now);
-        if (entry.slowdown > 0)
-            target.noteSlowdown({entry.slowdown / 100.0, now - entry.age});
-    }
-}
-
-std::vector<MoveAnswer> ServiceBalancer::takeMoveAnswers()
-{
-    return std::exchange(m_moveAnswers, {});
-}
-
 } // namespace endivedock
