core: one median; balancing: one way to open a cold target; comments that say what is done

Cause: the median stood in the placer and in the balancer, the random opening of a cold target three times; usualFailures() was called by nobody; the comment on reload() promised more than it does. Process tests and the soak were not rerun.

--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -150,7 +150,6 @@
     std::size_t targetCount() const { return m_targets.size(); }
     /** Smoothed time of an answer of an idle, undisturbed target. */
     Microseconds usualTime() const;
-    Share usualFailures() const { return m_baseline.failed; }
 
 private:
     struct Grant
@@ -219,6 +218,8 @@
     int roomOf(const TargetState &target) const;
     double expectedWork(const TargetState &target, TimePoint now) const;
     double meanSlowdown(TimePoint now) const;
+    /** Hosts see a target turn cold at the same time and must not all send to it at once. */
+    void openColdAtRandom(TargetState &target, TimePoint now);
     Duration coldInterval(Manner manner) const;
     Duration silencePatience() const;
     Survey survey(const PlacementRequest &request, MoveSide side, Manner manner, TimePoint now);
--- a/include/endivedock/core.h
+++ b/include/endivedock/core.h
@@ -9,6 +9,7 @@
 #include "endivedock/core/bounded_map.h"
 #include "endivedock/core/errors.h"
 #include "endivedock/core/ids.h"
+#include "endivedock/core/median.h"
 #include "endivedock/core/random.h"
 #include "endivedock/core/refusal.h"
 #include "endivedock/core/time.h"
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -37,7 +37,7 @@
 
     /** Shuts down gracefully: finishes what is open, then stops the context. */
     void stop();
-    /** The settings may have changed; what can change while the process runs is taken over. */
+    /** Notes that the settings were read again; what they say holds from the next start on. */
     void reload(const EdgeSettings &settings);
     bool ready() const;
 
--- a/include/endivedock/placement/placer-inl.h
+++ b/include/endivedock/placement/placer-inl.h
@@ -11,15 +11,6 @@
 /** Waiting requests that are passed over for one behind them, when special rules keep them back. */
 constexpr int mostPassedOver = 8;
 
-/** @return the middle one of @p values, which must not be empty; reorders them */
-template <typename T>
-T median(std::vector<T> &values)
-{
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
 inline PlacementAnswer refusal(const PlacementRequest &request, RefusalReason reason)
 {
     return {request.attempt, request.service, request.sending,
@@ -196,9 +187,9 @@
             failed.push_back(target.health.failedShare());
     }
     if (!times.empty())
-        m_baseline.medianTime = placement_detail::median(times);
+        m_baseline.medianTime = median(times);
     if (!failed.empty())
-        m_baseline.failed = placement_detail::median(failed);
+        m_baseline.failed = median(failed);
 }
 
 template <PickPolicy Policy>
--- a/src/balancing/balancer_knowledge.cpp
+++ b/src/balancing/balancer_knowledge.cpp
@@ -88,8 +88,7 @@
     const Milliseconds left = probe->coldFor.value_or(Milliseconds(0));
     target.warmAt(now + left);
     if (wasAbsent && left.count() > 0)
-        target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval(Manner::Alone) *
-                                                                   drawUnit(m_random)));
+        openColdAtRandom(target, now);
 }
 
 std::vector<TargetNews> ServiceBalancer::news(HostId placing, TimePoint now) const
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -48,14 +48,6 @@
 /** Or within this many objectives. */
 constexpr double worthwhileObjectives = 1.2;
 
-template <typename T>
-T median(std::vector<T> &values)
-{
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
 } // namespace
 
 ServiceBalancer::ServiceBalancer(ServiceId service, HostId self, const BalancingSettings &settings,
@@ -97,8 +89,7 @@
         if (!added)
             target.update(entry, now);
         if (target.cold(now) && !wasCold)
-            target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval(Manner::Alone) *
-                                                                       drawUnit(m_random)));
+            openColdAtRandom(target, now);
     }
     std::erase_if(m_targets, [&](const auto &item) { return !present.contains(item.first); });
     m_versions.setTargets(versions);
@@ -112,12 +103,17 @@
             continue;
         // Unseen meanwhile, so it may have turned cold; a probe tells sooner.
         target.chill(now + m_rules.warmup);
-        target.openCold(now + std::chrono::duration_cast<Duration>(coldInterval(Manner::Alone) *
-                                                                   drawUnit(m_random)));
+        openColdAtRandom(target, now);
     }
     m_zonesOut = zones;
 }
 
+void ServiceBalancer::openColdAtRandom(TargetState &target, TimePoint now)
+{
+    const auto wait = coldInterval(Manner::Alone) * drawUnit(m_random);
+    target.openCold(now + std::chrono::duration_cast<Duration>(wait));
+}
+
 Duration ServiceBalancer::coldInterval(Manner manner) const
 {
     if (!m_rules.warmupRate || m_rules.warmupRate->value() <= 0)
