loadnews: one missed answer no longer passes a placing host over

The log shows about 50 'does not answer' a second; each sent one host's requests to another placing host for 1.5 s, so that eight hosts placed for quotebook (655, 588, 312, 175 ... of 2,147 requests in 3 s) and none knew what the others had sent. Ruled out: load of the placing hosts (0.09 of 0.5 cores), lost datagrams. Most hosts have a tenth of a core: 2 ms of their own work last 20 ms. Change: a host is passed over after two misses at least 50 ms apart with nothing heard in between; a request waits a twelfth of its objective, 25 to 60 ms, for its placing host.

--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -13,9 +13,19 @@
  * callers more than a choice of this host by itself.
  */
 constexpr Milliseconds answerPatience{25};
+/** Callers with long objectives lose little by more patience, and a placed choice is better. */
+constexpr Milliseconds longestPatience{60};
+/** Part of its objective that a request may wait for the placing host, beyond answerPatience. */
+constexpr int patienceDivisor = 12;
 /** A request that is known to wait at the placing host is asked for again after this time. */
 constexpr Milliseconds waitPatience{120};
 
+/** @return how long a request waits for its placing host */
+inline Milliseconds patienceFor(Milliseconds objective)
+{
+    return std::clamp(objective / patienceDivisor, answerPatience, longestPatience);
+}
+
 /** @return the answer for the asking host */
 inline PlacementAnswer answerOf(const PlacementRequest &request,
                                 const ServiceBalancer::Outcome &outcome)
@@ -97,7 +107,7 @@
 SharedPlacement<Link>::ask(PlacementRequest request, Pending &pending, TimePoint deadline)
 {
     const TimePoint startedAt = SteadyClock().now();
-    const Milliseconds patience = placement_detail::answerPatience;
+    const Milliseconds patience = placement_detail::patienceFor(request.objective);
     const Milliseconds remaining = request.remaining;
     while (SteadyClock().now() < deadline) {
         const TimePoint now = SteadyClock().now();
--- a/include/endivedock/loadnews/relay_choice.h
+++ b/include/endivedock/loadnews/relay_choice.h
@@ -30,19 +30,27 @@
     HostId relayFor(const ServiceId &service, TimePoint now) const;
     void asked(HostId host, TimePoint now);
     void heard(HostId host, TimePoint now);
-    /** The host left a question unanswered for too long; it is passed over for a while. */
+    /**
+     * The host left a question unanswered for too long. It is passed over for a while once that
+     * has happened twice with nothing heard from it in between: a single miss is more often a stall
+     * of the host that asked, and hosts that disagree on who places spoil each other's counts.
+     */
     void unanswered(HostId host, TimePoint now);
 
     /** A host that was asked and has been silent for this long is passed over. */
     static constexpr Milliseconds patience{300};
     /** And is tried again after this time. */
     static constexpr Milliseconds retry{1500};
+    /** Questions that are missed within this time may all have met the same stall. */
+    static constexpr Milliseconds stall{50};
 
 private:
     struct Contact
     {
         /** First question since the last answer; absent if none is open. */
         std::optional<TimePoint> waitingSince;
+        /** First question since the last answer that was missed. */
+        std::optional<TimePoint> missedAt;
     };
 
     bool silent(HostId host, TimePoint now) const;
--- a/src/loadnews/relay_choice.cpp
+++ b/src/loadnews/relay_choice.cpp
@@ -62,6 +62,10 @@
 void RelayChoice::unanswered(HostId host, TimePoint now)
 {
     Contact &contact = m_contacts[host];
+    if (!contact.missedAt)
+        contact.missedAt = now;
+    if (now - *contact.missedAt < stall)
+        return;
     const TimePoint overdue = now - patience - Milliseconds(1);
     if (!contact.waitingSince || *contact.waitingSince > overdue)
         contact.waitingSince = overdue;
@@ -69,7 +73,7 @@
 
 void RelayChoice::heard(HostId host, TimePoint)
 {
-    m_contacts[host].waitingSince.reset();
+    m_contacts[host] = Contact{};
 }
 
 } // namespace endivedock
