--- a/tests/balancing/balancing_test.cpp
+++ b/tests/balancing/balancing_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(fillsTargetsToFourFifthsThenWaits);
     CPPUNIT_TEST(waitingRequestsFollowTheirPriority);
     CPPUNIT_TEST(hopelessRequestsAreRefusedAtOnce);
+    CPPUNIT_TEST(onlyThePlacingHostAsksColdTargets);
     CPPUNIT_TEST(slowTargetsAreKnownAgainWhenFast);
     CPPUNIT_TEST(drainingAndEvacuatedTargetsGetNothing);
     CPPUNIT_TEST(coldTargetsGetTheirRateOverAllHosts);
@@ -140,6 +141,16 @@
         CPPUNIT_ASSERT(m_balancer.waiting() > 5);
     }
 
+    /** Fifty targets that join at once met a connection of each of 118 hosts, and reset most. */
+    void onlyThePlacingHostAsksColdTargets()
+    {
+        RegisteredTarget cold = makeTarget(3);
+        cold.coldFor = Milliseconds(3000);
+        m_balancer.setTargets(std::vector{cold}, m_now);
+        CPPUNIT_ASSERT(m_balancer.dueProbes(false, m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_balancer.dueProbes(true, m_now).size());
+    }
+
     /** A target that is avoided for its slowdown gets no answers that would show it fast again. */
     void slowTargetsAreKnownAgainWhenFast()
     {
