platform: list from copies that may lag, catch up by one watch; restarted hosts find themselves registered

Change: pages are read with stale_ok (a tenth of the price, no rate limit) and brought up to date by one watch; if its history is gone, pages are read at full price. A restarted host that finds its own entry does not write it again, and decides anew whether it is to read on. Test: PlatformTest::storeListsAllPages (pages of different age, removals), storeListsAnewWhenHistoryIsGone.

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -24,6 +24,8 @@
 /** Changes that come within this time are fetched together. */
 constexpr Milliseconds watchPause{120};
 constexpr Milliseconds storeRetry{250};
+/** A restarted host that has no copy by then registers without looking whether it needs to. */
+constexpr Milliseconds registrationPatience{1000};
 /** A host that does not read the store looks this often whether it is to begin. */
 constexpr Milliseconds readerCheck{100};
 /** All hosts start within this time; afterwards the first listing shows all of them. */
@@ -179,6 +181,9 @@
             if (from > Revision(0))
                 sendNotice();
         }
+        // Whether this host goes on reading is decided anew, now that it knows the others.
+        if (from == Revision(0))
+            co_return;
     }
     const StoreChanges changes =
             co_await m_watchStore.watch("", m_registry.revision(), edge_detail::watchTime);
@@ -216,11 +221,20 @@
 template <EdgePlatform P>
 Task<> EdgeHost<P>::registerOnce()
 {
+    const RegisteredHost host{m_self, m_settings.peer, m_settings.capacity};
+    const StoreEntry entry = P::writeHost(m_settings.name, host);
+    const TimePoint copyBy = SteadyClock().now() + edge_detail::registrationPatience;
+    // A host that has been restarted finds itself in its first copy, and need not write.
+    while (!m_settings.firstStart && !m_registry.table() && SteadyClock().now() < copyBy)
+        co_await sleepFor(edge_detail::readerCheck);
     while (true) {
+        const StoreEntry *known = m_registry.find(entry.key);
+        if (known != nullptr && known->value == entry.value) {
+            m_log.info("Registered", {field("new", false), field("revision", known->modified)});
+            co_return;
+        }
         std::string failure;
         try {
-            const RegisteredHost host{m_self, m_settings.peer, m_settings.capacity};
-            const StoreEntry entry = P::writeHost(m_settings.name, host);
             std::vector<Swap> swaps;
             swaps.push_back({entry.key, Revision(0), entry.value});
             SwapResult result = co_await m_callStore.compareAndSwap(swaps, noLease);
--- a/include/endivedock/platform.h
+++ b/include/endivedock/platform.h
@@ -44,7 +44,10 @@
     KvStore(asio::any_io_executor executor, Address address);
 
     Task<std::optional<StoreEntry>> get(std::string key);
-    /** Reads all pages; watching on from the revision of the first one misses nothing. */
+    /**
+     * Reads all pages from copies that may lag, and then what has changed since; if the store no
+     * longer holds those changes, reads all pages as they are at present.
+     */
     Task<StoreSnapshot> list(std::string prefix);
     Task<SwapResult> compareAndSwap(std::vector<Swap> swaps, LeaseId lease);
     Task<LeaseId> grantLease(Milliseconds term);
@@ -56,11 +59,15 @@
     std::uint64_t calls() const { return m_calls; }
 
 private:
+    enum class Freshness { Present, MayBeOld };
+
+    Task<StoreSnapshot> listPages(std::string prefix, Freshness freshness);
     Task<HttpReply> call(std::string method, std::string path, std::string body,
                          Milliseconds timeout);
 
     HttpClient m_client;
     std::uint64_t m_calls = 0;
+    Log m_log{"store"};
 };
 
 static_assert(WatchableStore<KvStore>);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(answersAreKnownByIdAndSignature);
     CPPUNIT_TEST(readsLoadAndColdness);
     CPPUNIT_TEST(storeListsAllPages);
+    CPPUNIT_TEST(storeListsAnewWhenHistoryIsGone);
     CPPUNIT_TEST(storeWatchesAndLosesHistory);
     CPPUNIT_TEST(storeSwapsUnderCondition);
     CPPUNIT_TEST(storeErrorsAreNotSwallowed);
@@ -259,25 +260,53 @@
 
     void storeListsAllPages()
     {
-        const std::string value = encodeBase64("{}");
-        const auto item = [&](const std::string &key, int revision) {
-            return R"({"key":")" + key + R"(","value":")" + value + R"(","revision":)" +
-                   std::to_string(revision) + "}";
-        };
         StoreSnapshot snapshot;
+        int pages = 0;
         withStore(
                 [&](const HttpCall &call) -> HttpResult {
+                    if (call.path.find("kv-watch") != std::string::npos) {
+                        // From the older of the two pages on.
+                        CPPUNIT_ASSERT(call.path.find("after=7") != std::string::npos);
+                        return {200, "",
+                                R"({"events":[{"key":"c","revision":8,"deleted":true},)"
+                                R"({"key":"a b","revision":10,"deleted":true},)"
+                                R"({"key":"d","value":"eA==","revision":11}],"as_of":12})"};
+                    }
+                    ++pages;
+                    CPPUNIT_ASSERT(call.path.find("stale_ok=1") != std::string::npos);
                     if (call.path.find("after=") == std::string::npos)
                         return {200, "",
-                                R"({"items":[)" + item("a b", 3) +
+                                R"({"items":[)" + storeItem("a b", 3) +
                                         R"(],"has_more":true,"as_of":7})"};
                     CPPUNIT_ASSERT(call.path.ends_with("after=a%20b"));
                     return {200, "",
-                            R"({"items":[)" + item("c", 9) + R"(],"has_more":false,"as_of":9})"};
+                            R"({"items":[)" + storeItem("c", 9) +
+                                    R"(],"has_more":false,"as_of":9})"};
                 },
                 [&](KvStore &store) -> Task<> { snapshot = co_await store.list(""); });
+        CPPUNIT_ASSERT_EQUAL(2, pages);
+        // The removal of "c" is older than the page that holds it again.
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), snapshot.entries.size());
-        CPPUNIT_ASSERT(snapshot.revision == Revision(7));
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), snapshot.entries.at(0).key);
+        CPPUNIT_ASSERT_EQUAL(std::string("d"), snapshot.entries.at(1).key);
+        CPPUNIT_ASSERT(snapshot.revision == Revision(12));
+    }
+
+    void storeListsAnewWhenHistoryIsGone()
+    {
+        StoreSnapshot snapshot;
+        withStore(
+                [&](const HttpCall &call) -> HttpResult {
+                    if (call.path.find("kv-watch") != std::string::npos)
+                        return {410, "", "{}"};
+                    const bool old = call.path.find("stale_ok=1") != std::string::npos;
+                    return {200, "",
+                            R"({"items":[)" + storeItem("k", old ? 3 : 8) +
+                                    R"(],"has_more":false,"as_of":)" + (old ? "5}" : "9}")};
+                },
+                [&](KvStore &store) -> Task<> { snapshot = co_await store.list(""); });
+        CPPUNIT_ASSERT(snapshot.revision == Revision(9));
+        CPPUNIT_ASSERT(snapshot.entries.at(0).modified == Revision(8));
     }
 
     void storeWatchesAndLosesHistory()
@@ -354,6 +383,12 @@
     }
 
 private:
+    static std::string storeItem(const std::string &key, int revision)
+    {
+        return R"({"key":")" + key + R"(","value":")" + encodeBase64("{}") + R"(","revision":)" +
+               std::to_string(revision) + "}";
+    }
+
     static void withStore(const std::function<HttpResult(const HttpCall &)> &answer,
                           const std::function<Task<>(KvStore &)> &use)
     {
