edge: a lost reader of the store is replaced by the next host in the order only

Change: a host waits a turn of 250 ms for each round of hosts before it that could take the free places, at most four turns; a host that begins tells the others at once.

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -145,7 +145,10 @@
         if (reads != m_reading)
             m_log.info(reads ? "Reads the store" : "Leaves the store to other hosts",
                        {field("revision", m_registry.revision())});
+        const bool begins = reads && !m_reading;
         m_reading = reads;
+        if (begins)
+            sendNotice(); // Else the hosts behind this one would begin as well.
         if (!reads) {
             co_await sleepFor(edge_detail::readerCheck);
             continue;
--- a/include/endivedock/edge/reader_choice.h
+++ b/include/endivedock/edge/reader_choice.h
@@ -25,8 +25,13 @@
     void setHosts(const std::vector<RegisteredHost> &hosts, TimePoint now);
     /** @param reads  whether the sender can reach the store */
     void heard(HostId host, bool reads, TimePoint now);
-    /** @return whether this host is to read */
-    bool shouldRead(TimePoint now) const;
+    /**
+     * Where readers are missing, the next hosts in the order begin first, and the others only if
+     * they do not hear of them.
+     *
+     * @return whether this host is to read
+     */
+    bool shouldRead(TimePoint now);
 
     /** Enough that a zone and single hosts may be lost at the same time. */
     static constexpr std::size_t readers = 4;
@@ -34,6 +39,10 @@
     static constexpr Milliseconds beat{500};
     /** A reader that was not heard for this long is passed over. */
     static constexpr Milliseconds patience{1300};
+    /** The next hosts in the order have this time to begin and to tell of it. */
+    static constexpr Milliseconds turn{250};
+    /** Turns after which a host reads wherever it stands in the order. */
+    static constexpr std::size_t mostTurns = 4;
 
 private:
     struct Rank
@@ -47,6 +56,8 @@
     std::vector<Rank> m_ahead;
     /** When each host was last known to read; a new host is given the benefit of the doubt. */
     std::map<HostId, TimePoint> m_readAt;
+    /** Since when too few hosts ahead of this one have been reading. */
+    std::optional<TimePoint> m_missingSince;
 };
 
 } // namespace endivedock
--- a/src/edge/reader_choice.cpp
+++ b/src/edge/reader_choice.cpp
@@ -34,12 +34,21 @@
         found->second = reads ? now : TimePoint{};
 }
 
-bool ReaderChoice::shouldRead(TimePoint now) const
+bool ReaderChoice::shouldRead(TimePoint now)
 {
-    const auto reading = std::count_if(m_ahead.begin(), m_ahead.end(), [&](const Rank &rank) {
-        return now - m_readAt.at(rank.id) <= patience;
-    });
-    return static_cast<std::size_t>(reading) < readers;
+    const auto reading = static_cast<std::size_t>(
+            std::count_if(m_ahead.begin(), m_ahead.end(), [&](const Rank &rank) {
+                return now - m_readAt.at(rank.id) <= patience;
+            }));
+    if (reading >= readers) {
+        m_missingSince.reset();
+        return false;
+    }
+    if (!m_missingSince)
+        m_missingSince = now;
+    const std::size_t idleAhead = m_ahead.size() - reading;
+    const std::size_t turns = std::min(idleAhead / (readers - reading), mostTurns);
+    return now - *m_missingSince >= turn * static_cast<int>(turns);
 }
 
 } // namespace endivedock
