balancing: the queue of a service stays short, heavy bodies stay near

Ruled out: lack of targets (the load of seconds 8 to 12 is that of second 0), crowding (no target above 4 of 6). Change: a request waits a quarter of its objective at most, by the estimate and by how long the next one has been waiting; only entries of its own priority or above count as ahead of it. A body of 8 KB or more stays in its zone where a target finishes within half of the objective.

--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -223,6 +223,10 @@
     Duration coldInterval(Manner manner) const;
     Duration silencePatience() const;
     Survey survey(const PlacementRequest &request, MoveSide side, Manner manner, TimePoint now);
+    /** @return the time, in microseconds, in which a heavy request is served well; else 0 */
+    static double easyFinish(const PlacementRequest &request);
+    /** Leaves only the targets of the request's zone if one of them finishes in good time. */
+    static void keepHeavyNear(const PlacementRequest &request, std::vector<Candidate> &candidates);
     /** Which of equally good targets is taken. */
     enum class Spread { Even, Packed };
     std::optional<Candidate> pickFrom(std::vector<Candidate> &candidates,
@@ -234,6 +238,10 @@
                                        TimePoint now);
     Refusal refuse(RefusalReason reason, Milliseconds retryAfter);
     Duration latestFinish(const PlacementRequest &request) const;
+    /** @return how long a request may wait here; a longer queue would make all answers late */
+    Duration longestWait(const PlacementRequest &request) const;
+    /** @return the time that the next waiting request has been here, unless it is less urgent */
+    Duration waitAhead(const PlacementRequest &request, TimePoint now) const;
     BalancedChoice grant(const PlacementRequest &request, const Candidate &chosen, Manner manner,
                          TimePoint now);
     BalancedChoice track(const PlacementRequest &request, GrantId id, HostId placedBy,
--- a/include/endivedock/limits/waiting_queue.h
+++ b/include/endivedock/limits/waiting_queue.h
@@ -3,6 +3,7 @@
 #include "endivedock/core.h"
 
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -95,6 +96,16 @@
         }
     }
 
+    /** @return the entries that a newcomer of this priority would wait behind */
+    std::size_t aheadOf(int priority) const
+    {
+        const auto behind = m_entries.lower_bound(Order{-priority + 1, 0});
+        return static_cast<std::size_t>(std::distance(m_entries.begin(), behind));
+    }
+
+    /** @return the entry that is served next, or null; valid until the next change */
+    const Entry *front() const { return m_entries.empty() ? nullptr : &m_entries.begin()->second; }
+
     std::size_t size() const { return m_entries.size(); }
     bool empty() const { return m_entries.empty(); }
 
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -47,6 +47,14 @@
 constexpr double worthwhilePart = 0.4;
 /** Or within this many objectives. */
 constexpr double worthwhileObjectives = 1.2;
+/** Part of its objective that a request may wait. While more arrives than targets can do, a queue
+ * stays as long as it is allowed to be; a short one leaves most of the objective for the work. */
+constexpr double waitingPart = 0.25;
+constexpr Milliseconds shortestQueue{30};
+/** Bodies from this size on stay in their zone where they can: platforms charge for the bytes. */
+constexpr Bytes heavyBody{8 * 1024};
+/** A target nearby is good enough if it finishes within this part of the objective. */
+constexpr double easyPart = 0.5;
 
 } // namespace
 
@@ -241,9 +249,31 @@
         result.candidates.push_back(
                 {&target, finish, inFlight, static_cast<double>(inFlight) / slots});
     }
+    keepHeavyNear(request, result.candidates);
     return result;
 }
 
+double ServiceBalancer::easyFinish(const PlacementRequest &request)
+{
+    if (request.body < heavyBody)
+        return 0;
+    return static_cast<double>(Microseconds(request.objective).count()) * easyPart;
+}
+
+void ServiceBalancer::keepHeavyNear(const PlacementRequest &request,
+                                    std::vector<Candidate> &candidates)
+{
+    const double easy = easyFinish(request);
+    const auto near = [&request](const Candidate &candidate) {
+        return candidate.target->registered().zone == request.zone;
+    };
+    const bool anyGood = std::any_of(candidates.begin(), candidates.end(), [&](const auto &each) {
+        return near(each) && each.finish <= easy;
+    });
+    if (anyGood)
+        std::erase_if(candidates, [&](const auto &each) { return !near(each); });
+}
+
 std::optional<ServiceBalancer::Candidate>
 ServiceBalancer::pickFrom(std::vector<Candidate> &candidates, Spread spread)
 {
@@ -298,6 +328,22 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(latest));
 }
 
+Duration ServiceBalancer::longestWait(const PlacementRequest &request) const
+{
+    if (request.objective.count() == 0)
+        return Duration::max();
+    const auto part = std::chrono::duration_cast<Milliseconds>(request.objective * waitingPart);
+    return std::max(part, shortestQueue);
+}
+
+Duration ServiceBalancer::waitAhead(const PlacementRequest &request, TimePoint now) const
+{
+    const auto *front = m_waiting.front();
+    if (front == nullptr || front->priority < request.priority)
+        return Duration::zero();
+    return now - front->item.arrivedAt;
+}
+
 ServiceBalancer::Spread ServiceBalancer::spreadOfNew() const
 {
     // A few requests on one target show early what a version does under load.
@@ -327,14 +373,18 @@
     const double patient = wait + seen.leastWork;
     const auto latest = std::chrono::duration<double, std::micro>(latestFinish(request) - waited);
     const auto chosen = pickFrom(seen.candidates);
-    // A slow target with room is worse than a short wait for a fast one.
-    if (chosen && (chosen->finish <= patient * waitingGain || seen.rate == 0)) {
+    // A slow target with room is worse than a short wait for a fast one, unless it is easily enough.
+    const double acceptable =
+            seen.rate == 0 ? std::numeric_limits<double>::max()
+                           : std::max(patient * waitingGain, easyFinish(request));
+    if (chosen && chosen->finish <= acceptable) {
         // An idle target is worth a try: the estimate would never be corrected otherwise.
         if (chosen->finish <= latest.count() || chosen->inFlight == 0)
             return {chosen, false, {}};
         return {std::nullopt, false, RefusalReason::QueueFull};
     }
-    if (seen.rate > 0 && patient <= latest.count())
+    const std::chrono::duration<double, std::micro> longest(longestWait(request));
+    if (seen.rate > 0 && patient <= latest.count() && wait <= longest.count())
         return {std::nullopt, true, {}};
     return {std::nullopt, false, RefusalReason::QueueFull};
 }
@@ -353,11 +403,13 @@
     m_placedAt = now;
     if (auto refusal = refuseEarly(request, m_retryBudget, now))
         return *refusal;
-    const Verdict verdict = decide(request, m_waiting.size(), Duration::zero(), now);
+    const std::size_t ahead = m_waiting.aheadOf(request.priority);
+    const Verdict verdict = decide(request, ahead, Duration::zero(), now);
     if (verdict.chosen && m_waiting.empty())
         return grant(request, *verdict.chosen, Manner::Central, now);
-    if (!verdict.chosen && !verdict.wait)
-        return refuse(verdict.reason,
+    const bool queueStands = waitAhead(request, now) > longestWait(request);
+    if (queueStands || (!verdict.chosen && !verdict.wait))
+        return refuse(queueStands ? RefusalReason::QueueFull : verdict.reason,
                       verdict.reason == RefusalReason::NoTarget ? longReturn : shortReturn);
     const Duration latestStart = latestFinish(request) - usualTime();
     auto admission = m_waiting.add(Waiting{request, now}, request.priority,
--- a/tests/balancing/balancing_test.cpp
+++ b/tests/balancing/balancing_test.cpp
@@ -85,6 +85,7 @@
     CPPUNIT_TEST(adoptRefusesWhatThisHostKnowsBetter);
     CPPUNIT_TEST(pictureAddsWhatOthersHave);
     CPPUNIT_TEST(ownZoneAndOpenConnectionsAreChosenFirst);
+    CPPUNIT_TEST(heavyBodiesStayNearWhereThatServesThemWell);
     CPPUNIT_TEST(newVersionsWaitForAnOrder);
     CPPUNIT_TEST(firstRequestsOfANewVersionArePacked);
     CPPUNIT_TEST(expiredGrantsOfOtherHostsFreeTheirPlace);
@@ -314,6 +315,23 @@
         CPPUNIT_ASSERT(std::get<BalancedChoice>(*outcome).target.id == TargetId("t3"));
     }
 
+    /** A quarter of a grown day's bytes between zones were uploads that their own zone could bear. */
+    void heavyBodiesStayNearWhereThatServesThemWell()
+    {
+        m_balancer.setTargets(std::vector{makeTarget(1, "a"), makeTarget(2, "b")}, m_now);
+        PlacementRequest upload = makeRequest(1);
+        upload.zone = ZoneId("b");
+        upload.body = Bytes(60'000);
+        probe(1, 1.0);
+        probe(2, 2.0);
+        const auto near = m_balancer.place(upload, m_now);
+        CPPUNIT_ASSERT(std::get<BalancedChoice>(*near).target.id == TargetId("t2"));
+        probe(2, 4.0);
+        upload.attempt.request = RequestId(2);
+        const auto far = m_balancer.place(upload, m_now);
+        CPPUNIT_ASSERT(std::get<BalancedChoice>(*far).target.id == TargetId("t1"));
+    }
+
     void newVersionsWaitForAnOrder()
     {
         std::vector<RegisteredTarget> targets{makeTarget(1), makeTarget(2),
