balancing: one request that waits for a fast target holds nobody up

Ruled out: load (4 of 24 places in use). Change: a request that has waited as long as it may takes any target that still ends in time; a queue counts as standing only for a newcomer that finds no acceptable target. Test: BalancingTest::oneThatWaitsForAFastTargetHoldsNobodyUp, failed before (it asked the newcomer before the tick that serves the waiting one; corrected to the order of the host).

--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -376,10 +376,11 @@
     const double patient = wait + seen.leastWork;
     const auto latest = std::chrono::duration<double, std::micro>(latestFinish(request) - waited);
     const auto chosen = pickFrom(seen.candidates);
-    // A slow target with room is worse than a short wait for a fast one, unless it is easily
-    // enough.
-    const double acceptable = seen.rate == 0 ? std::numeric_limits<double>::max()
-                                             : std::max(patient * waitingGain, easyFinish(request));
+    // A slow target with room is worse than a short wait for a fast one, unless it is easily enough
+    // or the wait has been long already.
+    const bool anyWillDo = seen.rate == 0 || waited >= longestWait(request);
+    const double acceptable = anyWillDo ? std::numeric_limits<double>::max()
+                                        : std::max(patient * waitingGain, easyFinish(request));
     if (chosen && chosen->finish <= acceptable) {
         // An idle target is worth a try: the estimate would never be corrected otherwise.
         if (chosen->finish <= latest.count() || chosen->inFlight == 0)
@@ -410,7 +411,7 @@
     const Verdict verdict = decide(request, ahead, Duration::zero(), now);
     if (verdict.chosen && m_waiting.empty())
         return grant(request, *verdict.chosen, Manner::Central, now);
-    const bool queueStands = waitAhead(request, now) > longestWait(request);
+    const bool queueStands = !verdict.chosen && waitAhead(request, now) > longestWait(request);
     if (queueStands || (!verdict.chosen && !verdict.wait))
         return refuse(queueStands ? RefusalReason::QueueFull : verdict.reason,
                       verdict.reason == RefusalReason::NoTarget ? longReturn : shortReturn);
--- a/tests/balancing/balancing_test.cpp
+++ b/tests/balancing/balancing_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST_SUITE(BalancingTest);
     CPPUNIT_TEST(fillsTargetsToFourFifthsThenWaits);
     CPPUNIT_TEST(waitingRequestsFollowTheirPriority);
+    CPPUNIT_TEST(oneThatWaitsForAFastTargetHoldsNobodyUp);
     CPPUNIT_TEST(hopelessRequestsAreRefusedAtOnce);
     CPPUNIT_TEST(onlyThePlacingHostAsksColdTargets);
     CPPUNIT_TEST(slowTargetsAreKnownAgainWhenFast);
@@ -126,6 +127,26 @@
         CPPUNIT_ASSERT(decisions.at(0).request.attempt == urgent.attempt);
     }
 
+    /**
+     * Pattern: one request held out for a fast target while only slow ones had room, and as long as
+     * it waited all others were refused.
+     */
+    void oneThatWaitsForAFastTargetHoldsNobodyUp()
+    {
+        probe(1, 1.0);
+        probe(2, 3.0);
+        place(3); // All on the fast target.
+        CPPUNIT_ASSERT(!m_balancer.place(makeRequest(4), m_now));
+        m_now += Milliseconds(90);
+        probe(1, 1.0);
+        probe(2, 3.0);
+        const auto decisions = m_balancer.dispatch(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.size());
+        CPPUNIT_ASSERT(std::holds_alternative<BalancedChoice>(decisions[0].outcome));
+        const auto next = m_balancer.place(makeRequest(5), m_now);
+        CPPUNIT_ASSERT(!next || std::holds_alternative<BalancedChoice>(*next));
+    }
+
     /** Two targets bear about a hundred requests a second; two hundred at once cannot be served. */
     void hopelessRequestsAreRefusedAtOnce()
     {
