balancing: a request that gives way in a full queue is refused

Change: evicted requests are refused, as not run, with the next dispatch. Test: BalancingTest::whatGivesWayInAFullQueueIsRefused (not run against the code before).

--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -271,6 +271,8 @@
     std::map<AttemptId, GrantId> m_granted;
     WaitingQueue<Waiting> m_waiting;
     std::map<AttemptId, WaitingQueue<Waiting>::Ticket> m_tickets;
+    /** Requests that gave way to more urgent ones and have not been told yet. */
+    std::vector<PlacementRequest> m_evicted;
     RetryBudget m_retryBudget;
     RetryBudget m_aloneBudget;
     CrashSuspects m_suspects;
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace endivedock {
 
@@ -421,8 +422,10 @@
     if (!admission.ticket)
         return refuse(RefusalReason::QueueFull, shortReturn);
     m_tickets[request.attempt] = *admission.ticket;
-    if (admission.evicted)
+    if (admission.evicted) {
         m_tickets.erase(admission.evicted->request.attempt);
+        m_evicted.push_back(std::move(admission.evicted->request));
+    }
     return std::nullopt;
 }
 
@@ -430,6 +433,8 @@
 {
     std::vector<PlacementDecision> result;
     expireGrants(now);
+    for (auto &request : std::exchange(m_evicted, {}))
+        result.push_back({std::move(request), refuse(RefusalReason::QueueFull, shortReturn)});
     while (auto overdue = m_waiting.takeOverdue(now)) {
         m_tickets.erase(overdue->request.attempt);
         result.push_back({overdue->request, refuse(RefusalReason::QueueFull, shortReturn)});
--- a/tests/balancing/balancing_test.cpp
+++ b/tests/balancing/balancing_test.cpp
@@ -11,6 +11,8 @@
 
 const ServiceId service("quotes");
 const HostId self(1);
+/** Requests that wait for one service at most. */
+constexpr std::size_t mostWaiting = 400;
 
 RegisteredTarget makeTarget(int number, const std::string &zone = "a",
                             const std::string &version = "v1")
@@ -75,6 +77,7 @@
     CPPUNIT_TEST(fillsTargetsToFourFifthsThenWaits);
     CPPUNIT_TEST(waitingRequestsFollowTheirPriority);
     CPPUNIT_TEST(oneThatWaitsForAFastTargetHoldsNobodyUp);
+    CPPUNIT_TEST(whatGivesWayInAFullQueueIsRefused);
     CPPUNIT_TEST(hopelessRequestsAreRefusedAtOnce);
     CPPUNIT_TEST(onlyThePlacingHostAsksColdTargets);
     CPPUNIT_TEST(slowTargetsAreKnownAgainWhenFast);
@@ -147,6 +150,29 @@
         CPPUNIT_ASSERT(!next || std::holds_alternative<BalancedChoice>(*next));
     }
 
+    /** What gives way in a full queue is refused; its host asked again until the deadline before.
+     */
+    void whatGivesWayInAFullQueueIsRefused()
+    {
+        place(6);
+        std::uint64_t number = 10;
+        PlacementRequest plain = makeRequest(number);
+        plain.objective = Milliseconds(0); // None is declared, so the queue alone bounds the wait.
+        plain.remaining = Seconds(3600);
+        while (m_balancer.waiting() < mostWaiting) {
+            plain.attempt.request = RequestId(++number);
+            CPPUNIT_ASSERT(!m_balancer.place(plain, m_now));
+        }
+        PlacementRequest urgent = plain;
+        urgent.attempt.request = RequestId(++number);
+        urgent.priority = 3;
+        CPPUNIT_ASSERT(!m_balancer.place(urgent, m_now));
+        int refused = 0;
+        for (const auto &decision : m_balancer.dispatch(m_now))
+            refused += std::holds_alternative<Refusal>(decision.outcome) ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(1, refused);
+    }
+
     /** Two targets bear about a hundred requests a second; two hundred at once cannot be served. */
     void hopelessRequestsAreRefusedAtOnce()
     {
