--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -157,7 +157,8 @@
         CPPUNIT_ASSERT(last.shouldRead(later + longest));
     }
 
-    /** One lost reader of four made all 114 others read the store until they heard of each other. */
+    /** One lost reader of four made all 114 others read the store until they heard of each other.
+     */
     void aLostReaderIsReplacedByTheNextOnly()
     {
         std::vector<RegisteredHost> hosts;
