gateway: every caller that was refused without a run is told when to come back

Change: the gateway fills in a time by reason (150 to 300 ms without a configuration). Test: GatewayTest::refusedCallersAreToldWhenToReturn.

--- a/include/endivedock/gateway/attempt_policy.h
+++ b/include/endivedock/gateway/attempt_policy.h
@@ -35,6 +35,13 @@
  */
 std::optional<Refusal> decideAfterAttempt(const AttemptEnd &end);
 
+/**
+ * When a caller may come back whose request was not run, where no balancer has said so.
+ *
+ * @param spread  0 to 1; callers that are refused together return apart
+ */
+Milliseconds returnTime(RefusalReason reason, double spread);
+
 /** @return a stable name for metrics; static lifetime */
 std::string_view name(AttemptOutcome outcome);
 
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -646,6 +646,8 @@
 {
     const RefusalDescription &description = describe(refusal.reason);
     const bool notRun = refusal.certainty == RunCertainty::NotRun;
+    if (notRun && !refusal.retryAfter)
+        refusal.retryAfter = returnTime(refusal.reason, drawUnit(m_context.random));
     m_context.metrics.count("endivedock_refusals_total",
                             {{"service", request->plan.service.value()},
                              {"reason", std::string(description.name)},
--- a/src/gateway/attempt_policy.cpp
+++ b/src/gateway/attempt_policy.cpp
@@ -2,6 +2,17 @@
 
 namespace endivedock {
 
+namespace {
+
+/** A host that starts has a configuration after about this time. */
+constexpr Milliseconds startReturn{150};
+/** Another target is most likely free by then. */
+constexpr Milliseconds shortReturn{60};
+/** A request that crashes its targets is refused for longer than its callers wait. */
+constexpr Milliseconds suspectReturn{5000};
+
+} // namespace
+
 AttemptOutcome outcomeOf(unsigned status)
 {
     constexpr unsigned firstServerError = 500;
@@ -41,6 +52,17 @@
     return Refusal{refused ? RefusalReason::TargetRefused : RefusalReason::TargetFailed, certainty};
 }
 
+Milliseconds returnTime(RefusalReason reason, double spread)
+{
+    Milliseconds least = shortReturn;
+    if (reason == RefusalReason::NoConfiguration)
+        least = startReturn;
+    else if (reason == RefusalReason::CrashSuspect)
+        least = suspectReturn;
+    const double most = static_cast<double>(least.count()) * (1 + spread);
+    return Milliseconds(static_cast<std::int64_t>(most));
+}
+
 std::string_view name(AttemptOutcome outcome)
 {
     switch (outcome) {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -94,6 +94,7 @@
 class GatewayTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(GatewayTest);
+    CPPUNIT_TEST(refusedCallersAreToldWhenToReturn);
     CPPUNIT_TEST(plansByServiceAndRoute);
     CPPUNIT_TEST(refusesWhatItMustNotRun);
     CPPUNIT_TEST(deadlineOfTheCallerCounts);
@@ -108,6 +109,18 @@
     CPPUNIT_TEST(targetsOwnTimeoutIsNoFault);
     CPPUNIT_TEST_SUITE_END();
 
+    /** A host that had just started refused 200 callers without saying when to come back. */
+    void refusedCallersAreToldWhenToReturn()
+    {
+        for (int i = 0; i <= static_cast<int>(RefusalReason::Internal); ++i) {
+            const auto reason = static_cast<RefusalReason>(i);
+            CPPUNIT_ASSERT(returnTime(reason, 0) > Milliseconds(0));
+            CPPUNIT_ASSERT(returnTime(reason, 1) > returnTime(reason, 0));
+        }
+        // Within an objective of half a second there is time for the work after the return.
+        CPPUNIT_ASSERT(returnTime(RefusalReason::NoConfiguration, 1) <= Milliseconds(300));
+    }
+
 public:
     void plansByServiceAndRoute()
     {
