balancing: a target that has joined gets its first request

Ruled out: coldness (warm after 3 s), health (no failed probe). Change: a warm target that the placing host has never used is taken as connected and near, once, but not for heavy bodies. Test: BalancingTest::targetsThatJoinAreUsed, failed before.

--- a/include/endivedock/balancing/target_state.h
+++ b/include/endivedock/balancing/target_state.h
@@ -51,6 +51,8 @@
     /** @return when the request was sent; nothing if the grant is unknown */
     std::optional<TimePoint> ended(GrantId grant);
     void answered(TimePoint now) { m_lastAnswer = now; }
+    /** Whether this host has ever sent it a request, or placed one there, in its present life. */
+    bool everUsed() const { return m_everUsed; }
     Slots own() const { return Slots(static_cast<int>(m_inFlight.size())); }
     /** @return requests of all hosts, as far as known */
     Slots inFlight(TimePoint now, const BalancingSettings &settings) const;
@@ -102,6 +104,7 @@
     TimePoint m_nextProbe{};
     int m_failures = 0;
     bool m_unverified = false;
+    bool m_everUsed = false;
     TargetHealth m_health{balancedHealth()};
 };
 
--- a/src/balancing/balancer_choice.cpp
+++ b/src/balancing/balancer_choice.cpp
@@ -142,8 +142,12 @@
         if (inFlight >= room)
             work *= m_settings.crowding;
         double finish = work + std::max(0, inFlight + 1 - slots) * work / slots;
-        finish += penalty(request, target.registered());
-        const bool near = target.registered().zone == request.zone;
+        // A target that has joined gets its first request though the others are connected and near.
+        const bool joining = manner == Manner::Central && !cold && !target.everUsed() &&
+                             request.body < heavyBody;
+        if (!joining)
+            finish += penalty(request, target.registered());
+        const bool near = joining || target.registered().zone == request.zone;
         const double fullness = static_cast<double>(inFlight) / slots;
         result.candidates.push_back({&target, finish, inFlight, fullness, near});
     }
--- a/src/balancing/target_state.cpp
+++ b/src/balancing/target_state.cpp
@@ -23,6 +23,7 @@
         return;
     // A new life holds nothing of what was in flight, and knows nothing of its past failures.
     m_slowdown = {};
+    m_everUsed = false;
     m_health = TargetHealth(balancedHealth());
     verified();
 }
@@ -30,6 +31,7 @@
 void TargetState::sent(GrantId grant, TimePoint now)
 {
     m_inFlight.emplace(grant, now);
+    m_everUsed = true;
 }
 
 std::optional<TimePoint> TargetState::ended(GrantId grant)
--- a/tests/balancing/balancing_test.cpp
+++ b/tests/balancing/balancing_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(adoptRefusesWhatThisHostKnowsBetter);
     CPPUNIT_TEST(pictureAddsWhatOthersHave);
     CPPUNIT_TEST(ownZoneAndOpenConnectionsAreChosenFirst);
+    CPPUNIT_TEST(targetsThatJoinAreUsed);
     CPPUNIT_TEST(heavyBodiesStayNearWhereThatServesThemWell);
     CPPUNIT_TEST(newVersionsWaitForAnOrder);
     CPPUNIT_TEST(firstRequestsOfANewVersionArePacked);
@@ -363,6 +364,27 @@
         CPPUNIT_ASSERT(std::get<BalancedChoice>(*outcome).target.id == TargetId("t3"));
     }
 
+    /** Targets that joined a quiet service got nothing: the others were connected, and enough. */
+    void targetsThatJoinAreUsed()
+    {
+        PlacementRequest request = makeRequest(1);
+        request.connected = {addressKey(makeTarget(1).address), addressKey(makeTarget(2).address)};
+        for (int i = 1; i <= 10; ++i) {
+            request.attempt.request = RequestId(static_cast<std::uint64_t>(i));
+            const auto choice = std::get<BalancedChoice>(*m_balancer.place(request, m_now));
+            m_balancer.finish(makeReport(choice, AttemptOutcome::Answered), m_now);
+        }
+        m_balancer.setTargets(std::vector{makeTarget(1), makeTarget(2), makeTarget(3, "b")}, m_now);
+        int joined = 0;
+        for (int i = 11; i <= 60; ++i) {
+            request.attempt.request = RequestId(static_cast<std::uint64_t>(i));
+            const auto choice = std::get<BalancedChoice>(*m_balancer.place(request, m_now));
+            m_balancer.finish(makeReport(choice, AttemptOutcome::Answered), m_now);
+            joined += choice.target.id == TargetId("t3") ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(1, joined);
+    }
+
     /** A quarter of a grown day's bytes between zones were uploads that their own zone could bear.
      */
     void heavyBodiesStayNearWhereThatServesThemWell()
