gateway: a stopping host answers whole pipelines

Each answer of a stopping host closed its connection, also while a later request of the same pipeline was under way. Found beside it by reading: a request that waits for its turn behind such an answer was still passed on, though its caller takes it as not read and sends it again; for one that is not idempotent that is a run too many. Change: only the answer to the last request under way closes; what waited behind a closing answer is dropped as not read. Test: GatewayTest::stoppingHostsAnswerWholePipelines, failed before (the test program ended there).

--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -205,6 +205,9 @@
         boost::system::error_code ignored; // Cancelled is how a change is told.
         co_await session->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
+    if (session->closing)
+        co_return; // An answer before it has closed the connection meanwhile: it counts as not
+                   // read.
     session->exclusive = alone;
     request->number = session->read++;
     // What is left of a body that nobody reads would be taken for the next request.
@@ -309,7 +312,7 @@
     }
     if (auto *whole = std::get_if<Answer>(&result)) {
         co_await awaitTurn(session, request->number);
-        if (m_discouraging)
+        if (mayCloseBehind(*session))
             request->terms.keepAlive = false;
         session->closing = session->closing || !request->terms.keepAlive;
         co_await session->caller.sendAnswer(whole->head, whole->body, request->terms);
@@ -319,6 +322,13 @@
     countAnswer(*request);
 }
 
+template <FrontEnd F, PlacementSource P, RunGuard R>
+bool GatewayServer<F, P, R>::mayCloseBehind(const Session &session) const
+{
+    // Later requests of a pipeline that are under way are owed their answers on this connection.
+    return m_discouraging && session.open.size() <= 1;
+}
+
 template <FrontEnd F, PlacementSource P, RunGuard R>
 void GatewayServer<F, P, R>::countAnswer(const Request &request)
 {
@@ -662,7 +672,7 @@
                 field("attempts", request->tried.size()),
                 field("config", request->plan.configuration)});
     co_await awaitTurn(session, request->number);
-    if (m_discouraging)
+    if (mayCloseBehind(*session))
         request->terms.keepAlive = false;
     session->closing = session->closing || !request->terms.keepAlive;
     co_await session->caller.sendAnswer(answer.head, answer.body, request->terms);
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -200,6 +200,8 @@
     Task<> refuse(SessionPtr session, RequestPtr request, Refusal refusal);
     PlacementRequest placementRequest(const Request &request, int number) const;
     RequestHead headForTarget(const Request &request, const TargetId &target) const;
+    /** @return whether the answer that is due is to close its connection for a planned stop */
+    bool mayCloseBehind(const Session &session) const;
     void countAnswer(const Request &request);
 
     asio::any_io_executor m_executor;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(longChunkedBodiesAreRefusedTruthfully);
     CPPUNIT_TEST(ambiguousRequestsAreRefused);
     CPPUNIT_TEST(pipelinedAnswersKeepTheirOrder);
+    CPPUNIT_TEST(stoppingHostsAnswerWholePipelines);
     CPPUNIT_TEST(connectionsToTargetsAreUsedAgain);
     CPPUNIT_TEST(targetsOwnTimeoutIsNoFault);
     CPPUNIT_TEST_SUITE_END();
@@ -267,6 +268,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_mostAtOnce);
     }
 
+    /** A host that stops closed a connection behind an answer, under a later request of it. */
+    void stoppingHostsAnswerWholePipelines()
+    {
+        m_discouraged = true;
+        const std::string fast = "GET /bergvik/quotes/fast HTTP/1.1\r\nHost: h\r\n\r\n";
+        const std::string slow = "GET /bergvik/quotes/slow HTTP/1.1\r\nHost: h\r\n\r\n";
+        const std::string answer = throughGateway(fast + slow, 100, 2);
+        const std::size_t second = answer.find("/slow");
+        CPPUNIT_ASSERT_MESSAGE(answer, second != std::string::npos);
+        const std::size_t close = answer.find("Connection: close");
+        CPPUNIT_ASSERT_MESSAGE(answer, close > answer.find("/fast") && close < second);
+    }
+
     void connectionsToTargetsAreUsedAgain()
     {
         const std::string request = "POST /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\n"
@@ -337,8 +351,8 @@
     }
 
     /** Sends one text after the other, each on a connection of its own. @return the last answer */
-    static std::string exchangeWith(asio::io_context &context, const Address &target,
-                                    const std::vector<std::string> &texts, int maxBody, int answers)
+    std::string exchangeWith(asio::io_context &context, const Address &target,
+                             const std::vector<std::string> &texts, int maxBody, int answers)
     {
         configureLog(LogLevel::Error);
         NewestConfiguration configuration;
@@ -355,6 +369,8 @@
         GatewayServer<OwnFrontEnd, OneTarget, AnyRun> gateway(
                 context.get_executor(), anyPort, {HostId(1), metrics, random},
                 OwnFrontEnd(configuration), placements, runs);
+        if (m_discouraged)
+            gateway.discourage();
         std::string answer;
         for (const auto &text : texts) {
             answer.clear();
@@ -381,6 +397,8 @@
     Declarations m_declarations = makeDeclarations();
     TimePoint m_now{Seconds(100)};
     std::size_t m_mostAtOnce = 0;
+    /** The gateway is about to stop. */
+    bool m_discouraged = false;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
