--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -15,7 +15,7 @@
 constexpr Milliseconds answerPatience{25};
 /** Callers with long objectives lose little by more patience, and a placed choice is better. */
 constexpr Milliseconds longestPatience{60};
-/** Part of its objective that a request may wait for the placing host, beyond answerPatience. */
+/** A request waits this part of its objective for its placing host, within the bounds above. */
 constexpr int patienceDivisor = 12;
 /** A request that is known to wait at the placing host is asked for again after this time. */
 constexpr Milliseconds waitPatience{120};
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -206,8 +206,7 @@
         co_await session->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     if (session->closing)
-        co_return; // An answer before it has closed the connection meanwhile: it counts as not
-                   // read.
+        co_return; // Counts as not read: an answer before it has closed the connection.
     session->exclusive = alone;
     request->number = session->read++;
     // What is left of a body that nobody reads would be taken for the next request.
