quarantine: log what is learned of requests that may crash targets

Cause: the log said neither which content an attempt had, nor whether a host took a lost connection for a crash, so that the hypotheses of the incident could not be told apart. Change: the lines of attempts and refusals have the content's fingerprint; each loss, counted crash and crash that an answer excuses is a line 'Crash suspicion' and a count in endivedock_crash_events_total. No decision changes.

--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -201,6 +202,8 @@
      *                hosts in flight
      */
     void applyAggregatedLoad(std::span<const TargetLoad> others, TimePoint now);
+    /** @return what was learned of requests that may crash targets since the last call */
+    std::vector<CrashEvent> takeCrashEvents() { return std::exchange(m_crashEvents, {}); }
     /** @return the samples that were recorded during a rollout since the last call */
     std::vector<RolloutSample> takeRolloutSamples();
 
@@ -396,6 +399,8 @@
      * Attributes a crash of the target to the requests whose connections to the target were lost.
      */
     void attributeCrash(const TargetId &target, TimePoint now);
+    void recordCrashEvent(CrashEvent::Kind kind, const Fingerprint &request, const TargetId &target,
+                          TimePoint now);
     /** @param time  service time without slowdown, in microseconds */
     void updateBaseServiceTime(double time);
     void expireGrants(TimePoint now);
@@ -421,6 +426,7 @@
     RetryBudget m_retryBudget;
     RetryBudget m_fallbackRetryBudget;
     CrashSuspects m_suspects;
+    std::vector<CrashEvent> m_crashEvents;
     /** Attempts whose connection was lost, until it is known whether their target crashed. */
     std::vector<LostConnection> m_lostConnections;
     /** When a request with this content was last answered. */
--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -33,6 +33,19 @@
     return std::clamp(latencyObjective / answerTimeoutDivisor, minAnswerTimeout, maxAnswerTimeout);
 }
 
+inline std::string name(CrashEvent::Kind kind)
+{
+    switch (kind) {
+    case CrashEvent::Kind::AttemptLost:
+        return "attempt-lost";
+    case CrashEvent::Kind::CrashCounted:
+        return "crash-counted";
+    case CrashEvent::Kind::CrashIgnored:
+        return "crash-ignored";
+    }
+    return "unknown";
+}
+
 /** @return the answer to the host that requested the placement */
 inline PlacementAnswer makeAnswer(const PlacementRequest &request,
                                   const ServiceBalancer::Outcome &outcome)
@@ -232,6 +245,7 @@
         return;
     const TimePoint now = SteadyClock().now();
     const auto placedBy = balancer->finish(report, now);
+    logCrashEvents(*balancer, report);
     if (placedBy && *placedBy != m_self)
         m_peers.send(*placedBy, report);
     dispatch(*balancer, now);
@@ -279,6 +293,7 @@
 {
     if (ServiceBalancer *balancer = find(report.service)) {
         balancer->finish(report, now);
+        logCrashEvents(*balancer, report);
         dispatch(*balancer, now);
     }
 }
@@ -299,6 +314,20 @@
         deliver(decision);
 }
 
+template <PlacementPeers Peers>
+void SharedPlacement<Peers>::logCrashEvents(ServiceBalancer &balancer, const AttemptReport &report)
+{
+    for (const auto &event : balancer.takeCrashEvents()) {
+        m_metrics.count("endivedock_crash_events_total",
+                        {{"kind", placement_detail::name(event.kind)}});
+        m_log.info("Crash suspicion",
+                   {field("event", placement_detail::name(event.kind)),
+                    field("content", event.request), field("target", event.target),
+                    field("crashes", event.crashes), field("id", report.attempt.request),
+                    field("host", report.attempt.host), field("service", report.service)});
+    }
+}
+
 template <PlacementPeers Peers>
 void SharedPlacement<Peers>::logRefusal(const PlacementRequest &request,
                                         const ServiceBalancer::Outcome &outcome)
@@ -310,7 +339,8 @@
     m_log.info("Placement refused",
                {field("id", request.attempt.request), field("host", request.attempt.host),
                 field("service", request.service), field("reason", describe(refusal->reason).name),
-                field("waiting", balancer.waitingCount()), field("targets", balancer.targetCount()),
+                field("content", request.fingerprint), field("waiting", balancer.waitingCount()),
+                field("targets", balancer.targetCount()),
                 field("usual_ms", toMilliseconds(balancer.baseServiceTime()).count()),
                 field("objective_ms", request.latencyObjective.count()),
                 field("left_ms", request.remaining.count()),
--- a/include/endivedock/edge/shared_placement.h
+++ b/include/endivedock/edge/shared_placement.h
@@ -112,6 +112,7 @@
                                                     HostId placedBy, const PlacementAnswer &answer);
     PlacedTarget makePlacedTarget(const PlacementRequest &request, const TargetChoice &choice,
                                   HostId placedBy);
+    void logCrashEvents(ServiceBalancer &balancer, const AttemptReport &report);
     void logRefusal(const PlacementRequest &request, const ServiceBalancer::Outcome &outcome);
     void deliver(const PlacementDecision &decision);
     void dispatch(ServiceBalancer &balancer, TimePoint now);
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -551,7 +551,7 @@
             "Attempt ended",
             {field("request", request->plan.callerRequestId), field("id", request->id),
              field("target", target.placement.target), field("service", request->plan.service),
-             field("outcome", name(result.outcome)),
+             field("content", request->fingerprint), field("outcome", name(result.outcome)),
              field("attempt", request->triedTargets.size() + 1),
              field("took_ms", report.time.count() / 1000),
              field("config", request->plan.configuration),
@@ -699,7 +699,7 @@
                {field("request", request->plan.callerRequestId), field("id", request->id),
                 field("service", request->plan.service), field("reason", description.name),
                 field("run", notRun ? "not-run" : "may-have-run"),
-                field("status", response.head.status),
+                field("content", request->fingerprint), field("status", response.head.status),
                 field("retry_after_ms", refusal.retryAfter.value_or(Milliseconds(0)).count()),
                 field("attempts", request->triedTargets.size()),
                 field("config", request->plan.configuration)});
--- a/include/endivedock/quarantine/crash_suspects.h
+++ b/include/endivedock/quarantine/crash_suspects.h
@@ -23,6 +23,25 @@
     Milliseconds crashMergeWindow{1000};
 };
 
+/** A change in what is known of requests that may crash targets, for the log. */
+struct CrashEvent
+{
+    enum class Kind {
+        /** The connection to the target was lost while the request ran on it. */
+        AttemptLost,
+        /** The target has ended, and the request counts as a possible cause. */
+        CrashCounted,
+        /** The target has ended, but the request was answered recently and is not the cause. */
+        CrashIgnored
+    };
+
+    Kind kind = Kind::AttemptLost;
+    Fingerprint request;
+    TargetId target;
+    /** Crashes that count for the request. */
+    std::size_t crashes = 0;
+};
+
 /**
  * Detects requests that crash each target that runs them, by the fingerprint of their content. A
  * harmless request that happened to run on a crashed target is no longer suspect once it has been
@@ -50,6 +69,8 @@
      *         more crashes than responses
      */
     bool isQuarantined(const Fingerprint &request, TimePoint now);
+    /** @return the crashes that count for the request */
+    std::size_t crashCount(const Fingerprint &request, TimePoint now);
 
 private:
     /** The last crash of a target. */
--- a/src/balancing/balancer_outcomes.cpp
+++ b/src/balancing/balancer_outcomes.cpp
@@ -77,6 +77,7 @@
         return;
     case AttemptOutcome::ConnectionLost:
         m_lostConnections.push_back({target.registered().id, grant.fingerprint, now});
+        recordCrashEvent(CrashEvent::Kind::AttemptLost, grant.fingerprint, grant.target, now);
         failed = true;
         break;
     case AttemptOutcome::TimedOut:
@@ -112,14 +113,24 @@
         const TimePoint *lastAnsweredAt = m_lastAnsweredAt.find(lost.fingerprint);
         // A request whose content was answered recently does not crash targets; its connection was
         // lost for another reason.
-        if (lost.target == target &&
-            (!lastAnsweredAt || now - *lastAnsweredAt > recentAnswerWindow))
+        if (lost.target != target)
+            continue;
+        const bool isCause = !lastAnsweredAt || now - *lastAnsweredAt > recentAnswerWindow;
+        if (isCause)
             m_suspects.recordCrash(lost.fingerprint, target, now);
+        recordCrashEvent(isCause ? CrashEvent::Kind::CrashCounted : CrashEvent::Kind::CrashIgnored,
+                         lost.fingerprint, target, now);
     }
     std::erase_if(m_lostConnections,
                   [&target](const LostConnection &lost) { return lost.target == target; });
 }
 
+void ServiceBalancer::recordCrashEvent(CrashEvent::Kind kind, const Fingerprint &request,
+                                       const TargetId &target, TimePoint now)
+{
+    m_crashEvents.push_back({kind, request, target, m_suspects.crashCount(request, now)});
+}
+
 void ServiceBalancer::updateBaseServiceTime(double time)
 {
     // The first responses may be outliers, so they weigh no more than the initial assumption.
--- a/src/quarantine/crash_suspects.cpp
+++ b/src/quarantine/crash_suspects.cpp
@@ -42,6 +42,12 @@
     return record != nullptr && record->responses == 0;
 }
 
+std::size_t CrashSuspects::crashCount(const Fingerprint &request, TimePoint now)
+{
+    const Record *record = findUnexpired(request, now);
+    return record == nullptr ? 0 : record->crashes.size();
+}
+
 bool CrashSuspects::isQuarantined(const Fingerprint &request, TimePoint now)
 {
     const Record *record = findUnexpired(request, now);
