quarantine: one rule for crashed targets, which are verified by probes

What callers saw: a request that crashes its targets reached target after target, and requests that ran beside it were lost with each. Cause: a crash was noticed by chance only, if another request met a refused connection at the same target of the same placing host within 2 s. Sparse requests, targets that are back at once or whose entry is gone, and silence were never recorded. The rule was spread over the balancer (losses, answers), the placer (every loss) and the quarantine. Change: CrashSuspects holds the whole rule, one object for a host and not one for a service; balancer and placer only pass on what they see. A lost attempt counts as a crash until its target is seen alive. The sending host probes the target at once; a refused connection, three missing responses, another process at the address, a restart or a removed entry show its end. Silence counts only then. What an answer excuses (30 s) stays; copies in flight in one zone count as one crash; a quarantined request is tried again after 2 s, then after 60 s, doubling.

--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <set>
 #include <span>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -113,11 +112,13 @@
     using Outcome = std::variant<TargetChoice, Refusal>;
 
     /**
-     * @param self    id of this host
-     * @param random  must outlive this object
+     * @param self      id of this host
+     * @param random    must outlive this object
+     * @param suspects  requests to all services of this host that may crash targets; must outlive
+     *                  this object
      */
     ServiceBalancer(ServiceId service, HostId self, const BalancingSettings &settings,
-                    Random &random);
+                    Random &random, CrashSuspects &suspects);
 
     void setRules(const ServiceRules &rules);
     /** @param hosts  number of live hosts, including this host */
@@ -202,8 +203,6 @@
      *                hosts in flight
      */
     void applyAggregatedLoad(std::span<const TargetLoad> others, TimePoint now);
-    /** @return what was learned of requests that may crash targets since the last call */
-    std::vector<CrashEvent> takeCrashEvents() { return std::exchange(m_crashEvents, {}); }
     /** @return the samples that were recorded during a rollout since the last call */
     std::vector<RolloutSample> takeRolloutSamples();
 
@@ -235,15 +234,10 @@
         bool isCold = false;
         /** Slowdown that the target had last reported when it was selected. */
         double slowdown = 1;
+        ZoneId zone;
+        TimePoint grantedAt{};
         TimePoint expiresAt{};
     };
-    /** An attempt whose connection was lost. */
-    struct LostConnection
-    {
-        TargetId target;
-        Fingerprint fingerprint;
-        TimePoint lostAt{};
-    };
     /** A target that could receive the request. */
     struct Candidate
     {
@@ -370,9 +364,9 @@
      */
     Decision decide(const PlacementRequest &request, std::size_t requestsAhead, Duration waited,
                     TimePoint now);
-    /** Checks quarantine and retry budget, and counts the attempt. */
-    std::optional<Refusal> checkAdmission(const PlacementRequest &request, RetryBudget &budget,
-                                          TimePoint now);
+    /** Checks the retry budget, and counts the attempt. */
+    std::optional<Refusal> checkRetryBudget(const PlacementRequest &request, RetryBudget &budget,
+                                            TimePoint now);
     /** @param retryAfter  shortest delay before the caller retries; jitter is added */
     Refusal refuse(RefusalReason reason, Milliseconds retryAfter);
     /**
@@ -395,12 +389,8 @@
     void applyOutcome(TargetState &target, const Grant &grant, const AttemptReport &report,
                       TimePoint now);
     TargetLoad loadOf(const TargetState &target, int inFlight, TimePoint now) const;
-    /**
-     * Attributes a crash of the target to the requests whose connections to the target were lost.
-     */
-    void attributeCrash(const TargetId &target, TimePoint now);
-    void recordCrashEvent(CrashEvent::Kind kind, const Fingerprint &request, const TargetId &target,
-                          TimePoint now);
+    /** Records what the end of an attempt of this host shows of its request and its target. */
+    void updateSuspects(const Grant &grant, const AttemptReport &report, TimePoint now);
     /** @param time  service time without slowdown, in microseconds */
     void updateBaseServiceTime(double time);
     void expireGrants(TimePoint now);
@@ -425,12 +415,7 @@
     std::vector<PlacementRequest> m_evicted;
     RetryBudget m_retryBudget;
     RetryBudget m_fallbackRetryBudget;
-    CrashSuspects m_suspects;
-    std::vector<CrashEvent> m_crashEvents;
-    /** Attempts whose connection was lost, until it is known whether their target crashed. */
-    std::vector<LostConnection> m_lostConnections;
-    /** When a request with this content was last answered. */
-    BoundedMap<Fingerprint, TimePoint> m_lastAnsweredAt{4096};
+    CrashSuspects &m_suspects;
     std::vector<RolloutSample> m_rolloutSamples;
     /** Smoothed service time without slowdown, in microseconds; 0 before the first response. */
     double m_baseServiceTime = 0;
--- a/include/endivedock/balancing/target_state.h
+++ b/include/endivedock/balancing/target_state.h
@@ -44,6 +44,8 @@
     }
 
     const RegisteredTarget &registered() const { return m_registered; }
+    /** @return whether the entry is that of another process, which has taken the target's id */
+    bool isReplacedBy(const RegisteredTarget &registered) const;
     /**
      * Replaces the registered entry by a newer one of the same target. Resets the state that
      * belongs to the previous process if the target was restarted.
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -112,8 +112,8 @@
                 })
     , m_prober(m_executor, &P::parseProbeResponse,
                [this](const ServiceId &service, const TargetId &target,
-                      const std::optional<ProbeResult> &probe, const std::string &failure) {
-                   handleProbeResult(service, target, probe, failure);
+                      const std::variant<ProbeResult, ProbeFailure> &outcome) {
+                   handleProbeResult(service, target, outcome);
                })
     , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random},
                 P::makeFrontEnd({m_registry, m_roundRobin}), m_placement, m_runGuard)
@@ -620,14 +620,12 @@
 
 template <EdgePlatform P>
 void EdgeHost<P>::handleProbeResult(const ServiceId &service, const TargetId &target,
-                                    const std::optional<ProbeResult> &probe,
-                                    const std::string &failure)
+                                    const std::variant<ProbeResult, ProbeFailure> &outcome)
 {
-    if (!probe)
-        m_log.info("Probe failed",
-                   {field("service", service), field("target", target), field("error", failure)});
-    if (ServiceBalancer *balancer = m_placement.find(service))
-        balancer->applyProbeResult(target, probe, SteadyClock().now());
+    if (const auto *failure = std::get_if<ProbeFailure>(&outcome))
+        m_log.info("Probe failed", {field("service", service), field("target", target),
+                                    field("error", failure->cause)});
+    m_placement.applyProbe(service, target, outcome, SteadyClock().now());
 }
 
 // --- Shutdown and HTTP pages ---
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -94,7 +94,7 @@
     void writeFinalRolloutStatuses(TimePoint now);
     void startProbes(TimePoint now);
     void handleProbeResult(const ServiceId &service, const TargetId &target,
-                           const std::optional<ProbeResult> &probe, const std::string &failure);
+                           const std::variant<ProbeResult, ProbeFailure> &outcome);
 
     asio::io_context &m_context;
     asio::any_io_executor m_executor;
--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -33,19 +33,6 @@
     return std::clamp(latencyObjective / answerTimeoutDivisor, minAnswerTimeout, maxAnswerTimeout);
 }
 
-inline std::string name(CrashEvent::Kind kind)
-{
-    switch (kind) {
-    case CrashEvent::Kind::AttemptLost:
-        return "attempt-lost";
-    case CrashEvent::Kind::CrashCounted:
-        return "crash-counted";
-    case CrashEvent::Kind::CrashIgnored:
-        return "crash-ignored";
-    }
-    return "unknown";
-}
-
 /** @return the answer to the host that requested the placement */
 inline PlacementAnswer makeAnswer(const PlacementRequest &request,
                                   const ServiceBalancer::Outcome &outcome)
@@ -95,6 +82,12 @@
     request.zone = m_settings.zone;
     const TimePoint now = SteadyClock().now();
     const HostId placingHost = m_peers.placingHost(request.service, now);
+    // This host may know of a crash of which the placing host does not know yet.
+    if (placingHost != m_self && !m_suspects.tryAdmit(request.fingerprint, now)) {
+        const Refusal refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
+        logRefusal(request, refusal);
+        co_return refusal;
+    }
     Pending pending(m_executor);
     pending.placingHost = placingHost;
     pending.service = request.service;
@@ -245,7 +238,7 @@
         return;
     const TimePoint now = SteadyClock().now();
     const auto placedBy = balancer->finish(report, now);
-    logCrashEvents(*balancer, report);
+    logCrashEvents();
     if (placedBy && *placedBy != m_self)
         m_peers.send(*placedBy, report);
     dispatch(*balancer, now);
@@ -293,7 +286,7 @@
 {
     if (ServiceBalancer *balancer = find(report.service)) {
         balancer->finish(report, now);
-        logCrashEvents(*balancer, report);
+        logCrashEvents();
         dispatch(*balancer, now);
     }
 }
@@ -315,19 +308,34 @@
 }
 
 template <PlacementPeers Peers>
-void SharedPlacement<Peers>::logCrashEvents(ServiceBalancer &balancer, const AttemptReport &report)
+void SharedPlacement<Peers>::logCrashEvents()
 {
-    for (const auto &event : balancer.takeCrashEvents()) {
-        m_metrics.count("endivedock_crash_events_total",
-                        {{"kind", placement_detail::name(event.kind)}});
+    for (const auto &event : m_suspects.takeEvents()) {
+        const std::string kind(name(event.kind));
+        m_metrics.count("endivedock_crash_events_total", {{"kind", kind}});
         m_log.info("Crash suspicion",
-                   {field("event", placement_detail::name(event.kind)),
-                    field("content", event.request), field("target", event.target),
-                    field("crashes", event.crashes), field("id", report.attempt.request),
-                    field("host", report.attempt.host), field("service", report.service)});
+                   {field("event", kind), field("content", event.request),
+                    field("target", event.target), field("crashes", event.crashes)});
     }
 }
 
+template <PlacementPeers Peers>
+void SharedPlacement<Peers>::applyProbe(const ServiceId &service, const TargetId &target,
+                                        const std::variant<ProbeResult, ProbeFailure> &outcome,
+                                        TimePoint now)
+{
+    const auto *probe = std::get_if<ProbeResult>(&outcome);
+    if (const auto *failure = std::get_if<ProbeFailure>(&outcome))
+        m_suspects.recordTargetUnresponsive(target, failure->isConnectFailure, now);
+    else if (probe->id == target)
+        m_suspects.recordTargetAlive(target, now);
+    else if (probe->id)
+        m_suspects.recordTargetEnded(target, now);
+    logCrashEvents();
+    if (ServiceBalancer *balancer = find(service))
+        balancer->applyProbeResult(target, probe ? std::optional(*probe) : std::nullopt, now);
+}
+
 template <PlacementPeers Peers>
 void SharedPlacement<Peers>::logRefusal(const PlacementRequest &request,
                                         const ServiceBalancer::Outcome &outcome)
@@ -369,6 +377,7 @@
 {
     for (auto &[service, balancer] : m_balancers)
         dispatch(*balancer, now);
+    logCrashEvents();
 }
 
 template <PlacementPeers Peers>
@@ -389,7 +398,8 @@
     for (const auto &service : registry.services()) {
         auto &balancer = m_balancers[service];
         if (!balancer)
-            balancer = std::make_unique<ServiceBalancer>(service, m_self, m_settings, m_random);
+            balancer = std::make_unique<ServiceBalancer>(service, m_self, m_settings, m_random,
+                                                         m_suspects);
         const auto rules = table->services().find(service);
         if (rules != table->services().end()) {
             balancer->setRules(rules->second);
--- a/include/endivedock/edge/shared_placement.h
+++ b/include/endivedock/edge/shared_placement.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/balancing.h"
 #include "endivedock/edge/registry.h"
+#include "endivedock/edge/target_prober.h"
 #include "endivedock/gateway.h"
 
 #include <concepts>
@@ -78,6 +79,8 @@
      * @param hostCount  number of hosts, this one included
      */
     void applyRegistry(const Registry &registry, std::size_t hostCount, TimePoint now);
+    void applyProbe(const ServiceId &service, const TargetId &target,
+                    const std::variant<ProbeResult, ProbeFailure> &outcome, TimePoint now);
     /** Places or refuses the requests in the queues of this host that are due at @p now. */
     void tick(TimePoint now);
     bool hasWaitingRequests() const;
@@ -112,7 +115,7 @@
                                                     HostId placedBy, const PlacementAnswer &answer);
     PlacedTarget makePlacedTarget(const PlacementRequest &request, const TargetChoice &choice,
                                   HostId placedBy);
-    void logCrashEvents(ServiceBalancer &balancer, const AttemptReport &report);
+    void logCrashEvents();
     void logRefusal(const PlacementRequest &request, const ServiceBalancer::Outcome &outcome);
     void deliver(const PlacementDecision &decision);
     void dispatch(ServiceBalancer &balancer, TimePoint now);
@@ -123,6 +126,7 @@
     Random &m_random;
     Metrics &m_metrics;
     Peers &m_peers;
+    CrashSuspects m_suspects;
     std::map<ServiceId, std::unique_ptr<ServiceBalancer>> m_balancers;
     std::map<ServiceId, std::string> m_healthPaths;
     std::map<AttemptId, Pending *> m_pending;
--- a/include/endivedock/edge/target_prober.h
+++ b/include/endivedock/edge/target_prober.h
@@ -7,9 +7,19 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <variant>
 
 namespace endivedock {
 
+/** A probe without a response. */
+struct ProbeFailure
+{
+    std::string cause;
+    /** Whether no connection could be opened. */
+    bool isConnectFailure = false;
+};
+
 /**
  * Probes the health of targets. Keeps one connection open to each target, since new connections
  * are costly for targets, and the platform charges for them. At most one probe of a target is in
@@ -20,13 +30,9 @@
 public:
     /** Parses the response to a probe. */
     using ResponseParser = ProbeResult (*)(const ResponseHead &);
-    /**
-     * Receives the outcome of a probe. If no response came, the ProbeResult is absent and the
-     * string describes the error.
-     */
-    using ResultHandler =
-            std::function<void(const ServiceId &, const TargetId &,
-                               const std::optional<ProbeResult> &, const std::string &)>;
+    /** Receives the outcome of a probe. */
+    using ResultHandler = std::function<void(const ServiceId &, const TargetId &,
+                                             const std::variant<ProbeResult, ProbeFailure> &)>;
 
     TargetProber(asio::any_io_executor executor, ResponseParser parser, ResultHandler resultHandler)
         : m_executor(std::move(executor))
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -532,6 +532,7 @@
     } catch (const TargetError &error) {
         result.outcome =
                 error.isTimeout() ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectionLost;
+        report.isUnanswered = true;
         cause = error.what();
     } catch (...) {
         request->cancel = nullptr;
@@ -540,6 +541,7 @@
     request->cancel = nullptr;
     if (session->isCallerDisconnected) {
         report.outcome = AttemptOutcome::Abandoned;
+        report.isUnanswered = hasStartedSending && result.outcome != AttemptOutcome::Answered;
         throw CallerError(hasStartedSending
                                   ? "caller disconnected while a target ran its request"
                                   : "caller disconnected while the host connected to a target");
@@ -672,6 +674,7 @@
     } catch (const TargetError &error) {
         // The caller already has the start of the response and must see that the rest is missing.
         report.outcome = AttemptOutcome::ConnectionLost;
+        report.isUnanswered = true;
         m_context.metrics.count("endivedock_answers_cut_off_total",
                                 {{"service", request->plan.service.value()}});
         throw CallerError(std::string("target failed while its response was streamed: ") +
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -142,6 +142,11 @@
     std::optional<ReportedLoad> load;
     /** True if the response came from another target than the one expected at the address. */
     bool misdirected = false;
+    /**
+     * True if the request was sent and its response was incomplete when the attempt ended. Only the
+     * sending host needs to know this, so the encoding does not contain it.
+     */
+    bool isUnanswered = false;
 };
 
 /** Acknowledges an AttemptReport, which its sender repeats until the acknowledgement arrives. */
--- a/include/endivedock/placement/placer-inl.h
+++ b/include/endivedock/placement/placer-inl.h
@@ -527,11 +527,12 @@
 }
 
 template <PickPolicy Policy>
-void BasicPlacer<Policy>::recordTargetCrash(const Grant &grant, TimePoint now)
+void BasicPlacer<Policy>::recordLostAttempt(const Grant &grant, TimePoint now)
 {
     Target &target = m_targets[grant.target];
     markCold(target, ColdReason::ConnectionLost, now);
-    m_crashSuspects.recordCrash(grant.fingerprint, target.listed.id, now);
+    m_crashSuspects.recordLoss({grant.fingerprint, target.listed.id, target.listed.zone,
+                                grant.startedAt, now, /* isSilent */ false});
 }
 
 template <PickPolicy Policy>
@@ -562,7 +563,7 @@
         failed = true;
         break;
     case AttemptOutcome::ConnectionLost:
-        recordTargetCrash(grant, now);
+        recordLostAttempt(grant, now);
         failed = true;
         break;
     case AttemptOutcome::Abandoned:
@@ -643,9 +644,14 @@
     Target &target = m_targets[index->second];
     if (!incarnation) {
         markCold(target, ColdReason::ConnectionRefused, now);
+        m_crashSuspects.recordTargetUnresponsive(id, /* isRefused */ true, now);
         return;
     }
     target.isDraining = isDraining;
+    if (target.warmup.incarnation() == incarnation)
+        m_crashSuspects.recordTargetAlive(id, now);
+    else
+        m_crashSuspects.recordTargetEnded(id, now);
     // A probe causes too little work to prove that the target is warm, so its response never counts
     // as a success here. A new incarnation in the response does prove that the target restarted.
     if (target.warmup.recordResponse(incarnation, false, Microseconds(0), now, now))
--- a/include/endivedock/placement/placer.h
+++ b/include/endivedock/placement/placer.h
@@ -217,7 +217,7 @@
     void applyZones(TimePoint now);
     void applyRollout(const Service &service, TimePoint now, std::int64_t wallMs);
     void applyReport(const Grant &grant, const AttemptReport &report, TimePoint now);
-    void recordTargetCrash(const Grant &grant, TimePoint now);
+    void recordLostAttempt(const Grant &grant, TimePoint now);
     void markCold(Target &target, ColdReason reason, TimePoint now);
     std::optional<VersionRole> roleOf(const Target &target) const;
     bool hasVersion(const Target &target, VersionRole wanted) const;
--- a/src/balancing/balancer_load_reports.cpp
+++ b/src/balancing/balancer_load_reports.cpp
@@ -39,6 +39,10 @@
     const bool isActive = isPlacingHost && now - m_lastPlacementAt < activeServiceWindow;
     for (auto &[id, target] : m_targets) {
         const RegisteredTarget &entry = target.registered();
+        if (m_suspects.needsVerification(id, now)) {
+            result.push_back({id, entry.address});
+            continue;
+        }
         if (entry.isDraining || m_evacuatedZones.contains(entry.zone))
             continue;
         // A probe shows whether an unreachable target is reachable again, and how long a cold
--- a/src/balancing/balancer_outcomes.cpp
+++ b/src/balancing/balancer_outcomes.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-// Evaluation of finished attempts: health, base service time, rollout samples and crashes.
+// Evaluation of finished attempts: health, base service time, rollout samples and suspects.
 
 namespace endivedock {
 
@@ -14,13 +14,6 @@
 constexpr Milliseconds maxBaselineAge{100};
 /** Maximum number of rollout samples that are kept until the next load report. */
 constexpr std::size_t maxRolloutSamples = 256;
-/** A target that refuses connections within this time after a lost connection has crashed. */
-constexpr Seconds crashWindow{2};
-/**
- * A request is not suspected of a crash if a request with the same content was answered within this
- * time.
- */
-constexpr Seconds recentAnswerWindow{30};
 /**
  * A time-out counts as a failure of the target if the attempt took at least this many base service
  * times.
@@ -37,6 +30,7 @@
     const Grant grant = found->second;
     m_grants.erase(found);
     m_grantsToOthers.erase(grant.attempt);
+    updateSuspects(grant, report, now);
     const auto position = m_targets.find(grant.target);
     if (position == m_targets.end())
         return grant.placedBy; // The target is no longer registered.
@@ -59,8 +53,6 @@
     case AttemptOutcome::Abandoned:
         return;
     case AttemptOutcome::Answered:
-        m_suspects.recordResponse(grant.fingerprint, now);
-        m_lastAnsweredAt[grant.fingerprint] = now;
         break;
     case AttemptOutcome::Shed:
     case AttemptOutcome::Draining:
@@ -73,11 +65,8 @@
         break;
     case AttemptOutcome::ConnectFailed:
         target.recordConnectFailure(now, m_settings);
-        attributeCrash(target.registered().id, now);
         return;
     case AttemptOutcome::ConnectionLost:
-        m_lostConnections.push_back({target.registered().id, grant.fingerprint, now});
-        recordCrashEvent(CrashEvent::Kind::AttemptLost, grant.fingerprint, grant.target, now);
         failed = true;
         break;
     case AttemptOutcome::TimedOut:
@@ -105,30 +94,21 @@
         m_rolloutSamples.push_back({*role, grant.route, failed, normalizedTime});
 }
 
-void ServiceBalancer::attributeCrash(const TargetId &target, TimePoint now)
+void ServiceBalancer::updateSuspects(const Grant &grant, const AttemptReport &report, TimePoint now)
 {
-    std::erase_if(m_lostConnections,
-                  [now](const LostConnection &lost) { return now - lost.lostAt > crashWindow; });
-    for (const auto &lost : m_lostConnections) {
-        const TimePoint *lastAnsweredAt = m_lastAnsweredAt.find(lost.fingerprint);
-        // A request whose content was answered recently does not crash targets; its connection was
-        // lost for another reason.
-        if (lost.target != target)
-            continue;
-        const bool isCause = !lastAnsweredAt || now - *lastAnsweredAt > recentAnswerWindow;
-        if (isCause)
-            m_suspects.recordCrash(lost.fingerprint, target, now);
-        recordCrashEvent(isCause ? CrashEvent::Kind::CrashCounted : CrashEvent::Kind::CrashIgnored,
-                         lost.fingerprint, target, now);
-    }
-    std::erase_if(m_lostConnections,
-                  [&target](const LostConnection &lost) { return lost.target == target; });
-}
-
-void ServiceBalancer::recordCrashEvent(CrashEvent::Kind kind, const Fingerprint &request,
-                                       const TargetId &target, TimePoint now)
-{
-    m_crashEvents.push_back({kind, request, target, m_suspects.crashCount(request, now)});
+    if (report.outcome == AttemptOutcome::Answered)
+        m_suspects.recordResponse(grant.fingerprint, now);
+    if (grant.sentBy != m_self)
+        return; // The sending host records the rest.
+    if (report.misdirected)
+        m_suspects.recordTargetEnded(grant.target, now);
+    else if (report.outcome == AttemptOutcome::ConnectFailed)
+        m_suspects.recordTargetUnresponsive(grant.target, true, now);
+    else if (report.outcome == AttemptOutcome::ConnectionLost || report.isUnanswered)
+        m_suspects.recordLoss({grant.fingerprint, grant.target, grant.zone, grant.grantedAt, now,
+                               report.outcome != AttemptOutcome::ConnectionLost});
+    else if (report.outcome != AttemptOutcome::Abandoned)
+        m_suspects.recordTargetAlive(grant.target, grant.grantedAt);
 }
 
 void ServiceBalancer::updateBaseServiceTime(double time)
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -30,13 +30,14 @@
 } // namespace
 
 ServiceBalancer::ServiceBalancer(ServiceId service, HostId self, const BalancingSettings &settings,
-                                 Random &random)
+                                 Random &random, CrashSuspects &suspects)
     : m_service(std::move(service))
     , m_self(self)
     , m_settings(settings)
     , m_random(random)
     , m_retryBudget(settings.retryBudgetRatio)
     , m_fallbackRetryBudget(settings.retryBudgetRatio)
+    , m_suspects(suspects)
 {
     m_rules.id = m_service;
     m_retryBudget.setExtraRetries(settings.extraRetries);
@@ -66,12 +67,20 @@
         const bool wasCold = !added && target.isCold(now);
         if (added && entry.remainingWarmup.count() > 0)
             target.markCold(now + entry.remainingWarmup);
-        if (!added)
+        if (!added) {
+            if (target.isReplacedBy(entry))
+                m_suspects.recordTargetEnded(entry.id, now);
             target.update(entry, now);
+        }
         if (target.isCold(now) && !wasCold)
             delayFirstColdRequest(target, now);
     }
-    std::erase_if(m_targets, [&](const auto &item) { return !present.contains(item.first); });
+    std::erase_if(m_targets, [&](const auto &item) {
+        if (present.contains(item.first))
+            return false;
+        m_suspects.recordTargetEnded(item.first, now);
+        return true;
+    });
     m_versions.setTargets(versions);
 }
 
@@ -122,11 +131,9 @@
     return {reason, RunCertainty::NotRun, retryAfter + Milliseconds(jitter)};
 }
 
-std::optional<Refusal> ServiceBalancer::checkAdmission(const PlacementRequest &request,
-                                                       RetryBudget &budget, TimePoint now)
+std::optional<Refusal> ServiceBalancer::checkRetryBudget(const PlacementRequest &request,
+                                                         RetryBudget &budget, TimePoint now)
 {
-    if (m_suspects.isQuarantined(request.fingerprint, now))
-        return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
     if (!request.isRetry) {
         budget.recordFirstAttempt(now);
         return std::nullopt;
@@ -149,7 +156,9 @@
     }
     refreshBaseline(now);
     m_lastPlacementAt = now;
-    if (auto refusal = checkAdmission(request, m_retryBudget, now))
+    if (!m_suspects.tryAdmit(request.fingerprint, now))
+        return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
+    if (auto refusal = checkRetryBudget(request, m_retryBudget, now))
         return *refusal;
     const std::size_t requestsAhead = m_waiting.countAhead(request.priority);
     const Decision decision = decide(request, requestsAhead, Duration::zero(), now);
@@ -226,7 +235,10 @@
                                                           TimePoint now)
 {
     refreshBaseline(now);
-    if (auto refusal = checkAdmission(request, m_fallbackRetryBudget, now))
+    // Only the placing host tries a quarantined request again.
+    if (m_suspects.isQuarantined(request.fingerprint, now))
+        return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
+    if (auto refusal = checkRetryBudget(request, m_fallbackRetryBudget, now))
         return *refusal;
     const bool isRollingOut = m_versions.running().has_value();
     const bool isRolledOut = isRollingOut && m_rolloutShare >= Share(1);
@@ -300,6 +312,8 @@
     grant.isOverfilled = chosen.inFlight >= usableSlots(target);
     grant.isCold = isCold;
     grant.slowdown = target.slowdown().slowdown;
+    grant.zone = entry.zone;
+    grant.grantedAt = now;
     grant.expiresAt = now + request.remaining + grantGracePeriod;
     if (grant.sentBy != m_self)
         m_grantsToOthers[request.attempt] = id;
--- a/src/balancing/target_state.cpp
+++ b/src/balancing/target_state.cpp
@@ -12,10 +12,15 @@
 
 } // namespace
 
+bool TargetState::isReplacedBy(const RegisteredTarget &registered) const
+{
+    return registered.startedAt != m_registered.startedAt ||
+           registered.address != m_registered.address;
+}
+
 void TargetState::update(const RegisteredTarget &registered, TimePoint now)
 {
-    const bool isRestarted = registered.startedAt != m_registered.startedAt ||
-                             registered.address != m_registered.address;
+    const bool isRestarted = isReplacedBy(registered);
     m_registered = registered;
     if (registered.remainingWarmup.count() > 0)
         markCold(now + registered.remainingWarmup);
--- a/src/edge/target_prober.cpp
+++ b/src/edge/target_prober.cpp
@@ -24,15 +24,16 @@
 
 Task<> TargetProber::probe(ServiceId service, DueProbe target, std::string path)
 {
-    std::optional<ProbeResult> result;
-    std::string failure;
+    std::variant<ProbeResult, ProbeFailure> result;
     try {
         result = co_await exchange(target, path);
+    } catch (const TargetConnectError &error) {
+        result = ProbeFailure{error.what(), true};
     } catch (const Error &error) {
-        failure = error.what();
+        result = ProbeFailure{error.what(), false};
     }
     m_inFlight.erase(target.id);
-    m_resultHandler(service, target.id, result, failure);
+    m_resultHandler(service, target.id, result);
 }
 
 Task<ProbeResult> TargetProber::exchange(DueProbe target, std::string path)
--- a/src/quarantine/crash_suspects.cpp
+++ b/src/quarantine/crash_suspects.cpp
@@ -1,14 +1,193 @@
 #include "endivedock/quarantine/crash_suspects.h"
 
+#include <algorithm>
+
 namespace endivedock {
 
-std::uint64_t CrashSuspects::crashIdFor(const TargetId &target, TimePoint now)
+namespace {
+
+/** Losses that are kept of one target until it is known whether the target has ended. */
+constexpr std::size_t maxLossesOfTarget = 64;
+/** Events that are kept until they are taken. */
+constexpr std::size_t maxEvents = 256;
+/** Crashes that are kept of one request; more do not change a decision. */
+constexpr std::size_t maxCrashes = 8;
+
+} // namespace
+
+std::string_view name(CrashEvent::Kind kind)
+{
+    switch (kind) {
+    case CrashEvent::Kind::AttemptLost:
+        return "attempt-lost";
+    case CrashEvent::Kind::TargetAlive:
+        return "target-alive";
+    case CrashEvent::Kind::TargetEnded:
+        return "target-ended";
+    case CrashEvent::Kind::RecentlyAnswered:
+        return "recently-answered";
+    case CrashEvent::Kind::Quarantined:
+        return "quarantined";
+    case CrashEvent::Kind::Trial:
+        return "trial";
+    case CrashEvent::Kind::Cleared:
+        return "cleared";
+    }
+    return "unknown";
+}
+
+void CrashSuspects::recordLoss(const LostAttempt &attempt)
+{
+    const TimePoint now = attempt.lostAt;
+    purgeExpiredLosses(now);
+    if (isRecentlyAnswered(attempt.request, now)) {
+        if (!attempt.isSilent)
+            addEvent(CrashEvent::Kind::RecentlyAnswered, attempt.request, attempt.target, now);
+        return;
+    }
+    auto &losses = m_unverifiedLosses[attempt.target];
+    if (losses.size() >= maxLossesOfTarget)
+        losses.erase(losses.begin());
+    const TimePoint nextProbeAt = attempt.isSilent ? now + m_settings.silenceDelay : now;
+    losses.push_back({attempt, TargetFate::Unknown, 0, nextProbeAt});
+    if (attempt.isSilent)
+        return;
+    addEvent(CrashEvent::Kind::AttemptLost, attempt.request, attempt.target, now);
+    addCrash(attempt.request, {attempt.target, attempt.zone, attempt.startedAt, now});
+}
+
+bool CrashSuspects::isRecentlyAnswered(const Fingerprint &request, TimePoint at)
+{
+    const TimePoint *answeredAt = m_lastAnswers.find(request);
+    return answeredAt != nullptr && at - *answeredAt <= m_settings.recentAnswerWindow;
+}
+
+void CrashSuspects::recordCrash(const Fingerprint &request, const TargetId &target, TimePoint now)
+{
+    addCrash(request, {target, ZoneId(), now, now});
+}
+
+void CrashSuspects::addCrash(const Fingerprint &request, const Crash &crash)
 {
-    Crash &last = m_lastCrashes[target];
-    if (last.id == 0 || now - last.at > m_settings.crashMergeWindow)
-        last.id = m_nextCrashId++;
-    last.at = now;
-    return last.id;
+    findUnexpired(request, crash.at); // Resets an expired record.
+    Record &record = m_records[request];
+    for (const auto &known : record.crashes) {
+        if (known.target == crash.target && crash.at - known.at <= m_settings.crashMergeWindow)
+            return;
+    }
+    const std::size_t countBefore = countCrashes(record);
+    if (record.crashes.size() >= maxCrashes)
+        record.crashes.erase(record.crashes.begin());
+    record.crashes.push_back(crash);
+    if (countBefore < m_settings.crashesToQuarantine &&
+        countCrashes(record) >= m_settings.crashesToQuarantine)
+        addEvent(CrashEvent::Kind::Quarantined, request, crash.target, crash.at);
+}
+
+void CrashSuspects::removeCrash(const LostAttempt &attempt)
+{
+    Record *record = m_records.find(attempt.request);
+    if (record == nullptr)
+        return;
+    std::erase_if(record->crashes, [&attempt](const Crash &crash) {
+        return crash.target == attempt.target && crash.at == attempt.lostAt;
+    });
+}
+
+void CrashSuspects::recordResponse(const Fingerprint &request, TimePoint now)
+{
+    m_lastAnswers[request] = now;
+    Record *record = findUnexpired(request, now);
+    if (record == nullptr)
+        return;
+    const bool wasSuspect = countCrashes(*record) > 0;
+    record->lastAnsweredAt = now;
+    if (wasSuspect)
+        addEvent(CrashEvent::Kind::Cleared, request, TargetId(), now);
+}
+
+void CrashSuspects::recordTargetAlive(const TargetId &target, TimePoint since)
+{
+    const auto found = m_unverifiedLosses.find(target);
+    if (found == m_unverifiedLosses.end())
+        return;
+    for (auto &loss : found->second) {
+        const LostAttempt &attempt = loss.attempt;
+        if (loss.fate == TargetFate::Alive || since < attempt.lostAt)
+            continue;
+        // The loss is kept, since the target may have been restarted under its id.
+        loss.fate = TargetFate::Alive;
+        if (attempt.isSilent)
+            continue;
+        removeCrash(attempt);
+        addEvent(CrashEvent::Kind::TargetAlive, attempt.request, target, since);
+    }
+}
+
+void CrashSuspects::recordTargetUnresponsive(const TargetId &target, bool isRefused, TimePoint now)
+{
+    const auto found = m_unverifiedLosses.find(target);
+    if (found == m_unverifiedLosses.end())
+        return;
+    bool hasEnded = false;
+    for (auto &loss : found->second) {
+        if (loss.fate == TargetFate::Alive)
+            continue;
+        ++loss.unansweredProbes;
+        hasEnded = hasEnded || (isRefused && !loss.attempt.isSilent) ||
+                   loss.unansweredProbes >= m_settings.probesToVerify;
+    }
+    if (hasEnded)
+        recordTargetEnded(target, now);
+}
+
+void CrashSuspects::recordTargetEnded(const TargetId &target, TimePoint now)
+{
+    const auto found = m_unverifiedLosses.find(target);
+    if (found == m_unverifiedLosses.end())
+        return;
+    const std::vector<UnverifiedLoss> losses = std::move(found->second);
+    m_unverifiedLosses.erase(found);
+    for (const auto &[attempt, fate, unansweredProbes, nextProbeAt] : losses) {
+        if (isExpired(attempt, now) || isRecentlyAnswered(attempt.request, attempt.lostAt))
+            continue;
+        addCrash(attempt.request,
+                 {attempt.target, attempt.zone, attempt.startedAt, attempt.lostAt});
+        addEvent(CrashEvent::Kind::TargetEnded, attempt.request, target, now);
+    }
+}
+
+bool CrashSuspects::isExpired(const LostAttempt &attempt, TimePoint now) const
+{
+    return now - attempt.lostAt > m_settings.verificationWindow;
+}
+
+void CrashSuspects::purgeExpiredLosses(TimePoint now)
+{
+    if (now < m_nextPurgeAt)
+        return;
+    m_nextPurgeAt = now + m_settings.verificationWindow;
+    for (auto each = m_unverifiedLosses.begin(); each != m_unverifiedLosses.end();) {
+        std::erase_if(each->second,
+                      [&](const UnverifiedLoss &loss) { return isExpired(loss.attempt, now); });
+        each = each->second.empty() ? m_unverifiedLosses.erase(each) : std::next(each);
+    }
+}
+
+bool CrashSuspects::needsVerification(const TargetId &target, TimePoint now)
+{
+    const auto found = m_unverifiedLosses.find(target);
+    if (found == m_unverifiedLosses.end())
+        return false;
+    bool isDue = false;
+    for (auto &loss : found->second) {
+        if (loss.fate == TargetFate::Alive || now < loss.nextProbeAt ||
+            isExpired(loss.attempt, now))
+            continue;
+        loss.nextProbeAt = now + m_settings.verificationInterval;
+        isDue = true;
+    }
+    return isDue;
 }
 
 CrashSuspects::Record *CrashSuspects::findUnexpired(const Fingerprint &request, TimePoint now)
@@ -16,44 +195,86 @@
     Record *record = m_records.find(request);
     if (record == nullptr || record->crashes.empty())
         return nullptr;
-    if (now - record->lastCrashAt > m_settings.retention)
+    if (now - lastCrashAt(*record) > m_settings.retention)
         *record = Record{};
     return record->crashes.empty() ? nullptr : record;
 }
 
-void CrashSuspects::recordCrash(const Fingerprint &request, const TargetId &target, TimePoint now)
+TimePoint CrashSuspects::lastCrashAt(const Record &record)
 {
-    findUnexpired(request, now);
-    Record &record = m_records[request];
-    record.crashes.insert(crashIdFor(target, now));
-    record.lastCrashAt = now;
+    return std::max_element(record.crashes.begin(), record.crashes.end(),
+                            [](const Crash &a, const Crash &b) { return a.at < b.at; })
+            ->at;
 }
 
-void CrashSuspects::recordResponse(const Fingerprint &request, TimePoint now)
+std::size_t CrashSuspects::countCrashes(const Record &record) const
 {
-    Record *record = findUnexpired(request, now);
-    if (record != nullptr)
-        ++record->responses;
+    std::vector<const Crash *> counted;
+    for (const auto &crash : record.crashes) {
+        if (record.lastAnsweredAt &&
+            crash.at <= *record.lastAnsweredAt + m_settings.recentAnswerWindow)
+            continue;
+        const bool isSameEvent =
+                std::any_of(counted.begin(), counted.end(), [&crash](const Crash *other) {
+                    return !crash.zone.value().empty() && crash.zone == other->zone &&
+                           crash.startedAt <= other->at && other->startedAt <= crash.at;
+                });
+        if (!isSameEvent)
+            counted.push_back(&crash);
+    }
+    return counted.size();
 }
 
-bool CrashSuspects::isSuspect(const Fingerprint &request, TimePoint now)
+std::size_t CrashSuspects::crashCount(const Fingerprint &request, TimePoint now)
 {
     const Record *record = findUnexpired(request, now);
-    return record != nullptr && record->responses == 0;
+    return record == nullptr ? 0 : countCrashes(*record);
 }
 
-std::size_t CrashSuspects::crashCount(const Fingerprint &request, TimePoint now)
+bool CrashSuspects::isSuspect(const Fingerprint &request, TimePoint now)
 {
-    const Record *record = findUnexpired(request, now);
-    return record == nullptr ? 0 : record->crashes.size();
+    return crashCount(request, now) > 0;
 }
 
 bool CrashSuspects::isQuarantined(const Fingerprint &request, TimePoint now)
 {
-    const Record *record = findUnexpired(request, now);
-    if (record == nullptr || record->crashes.size() < m_settings.crashesToQuarantine)
+    return crashCount(request, now) >= m_settings.crashesToQuarantine;
+}
+
+TimePoint CrashSuspects::nextTrialAt(const Record &record) const
+{
+    const std::size_t furtherCrashes = countCrashes(record) - m_settings.crashesToQuarantine;
+    const Duration delay =
+            furtherCrashes == 0
+                    ? Duration(m_settings.firstTrialDelay)
+                    : std::min<Duration>(m_settings.trialDelay * (1 << (furtherCrashes - 1)),
+                                         m_settings.retention);
+    const TimePoint crashedAt = lastCrashAt(record);
+    return std::max(crashedAt, record.lastTrialAt.value_or(crashedAt)) + delay;
+}
+
+bool CrashSuspects::isTrialDue(const Fingerprint &request, TimePoint now)
+{
+    return isQuarantined(request, now) && now >= nextTrialAt(*m_records.find(request));
+}
+
+bool CrashSuspects::tryAdmit(const Fingerprint &request, TimePoint now)
+{
+    if (!isQuarantined(request, now))
+        return true;
+    if (!isTrialDue(request, now))
         return false;
-    return record->responses < record->crashes.size();
+    m_records.find(request)->lastTrialAt = now;
+    addEvent(CrashEvent::Kind::Trial, request, TargetId(), now);
+    return true;
+}
+
+void CrashSuspects::addEvent(CrashEvent::Kind kind, const Fingerprint &request,
+                             const TargetId &target, TimePoint now)
+{
+    if (m_events.size() >= maxEvents)
+        m_events.erase(m_events.begin());
+    m_events.push_back({kind, request, target, crashCount(request, now)});
 }
 
 } // namespace endivedock
--- a/tests/balancing/balancing_test.cpp
+++ b/tests/balancing/balancing_test.cpp
@@ -253,7 +253,7 @@
         std::deque<ServiceBalancer> balancers;
         for (std::size_t i = 0; i <= hosts; ++i) {
             balancers.emplace_back(service, HostId(static_cast<std::uint32_t>(i + 1)),
-                                   BalancingSettings{}, m_random);
+                                   BalancingSettings{}, m_random, m_suspects);
             balancers.back().setRules(coldRules(18));
             balancers.back().setHostCount(hosts);
             balancers.back().setTargets(std::vector{target}, m_now);
@@ -289,7 +289,7 @@
      */
     void retriesOfAllHostsStayWithinTheBudget()
     {
-        ServiceBalancer other(service, HostId(2), {}, m_random);
+        ServiceBalancer other(service, HostId(2), {}, m_random, m_suspects);
         other.setTargets(makeTargets(2), m_now);
         other.setHostCount(17);
         int retries = 0;
@@ -705,7 +705,8 @@
 
     Random m_random{1};
     TimePoint m_now{Seconds(1000)};
-    ServiceBalancer m_balancer{service, self, {}, m_random};
+    CrashSuspects m_suspects;
+    ServiceBalancer m_balancer{service, self, {}, m_random, m_suspects};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BalancingTest);
