quarantine: hosts tell each other of requests that crash targets

What callers saw: a request that was refused on one host crashed targets through another, after each restart, kill, pause or takeover again. Cause: the records stayed on the host that had seen the crash. With records sent along with load reports a restarted host that places requests itself still got none: it sends no load reports. Change: a verified crash, an answer that clears a suspect and a trial are broadcast; a host that has started asks all others; each host with records sends them to two random hosts a second. Merging does not depend on order or number of messages. Unverified losses are not shared. Tests: otherHostsRefuseWhatOneHostQuarantined, answerOnAnyHostClearsASuspect, onlyVerifiedCrashesAreShared.

--- a/include/endivedock/core/bounded_map.h
+++ b/include/endivedock/core/bounded_map.h
@@ -40,6 +40,8 @@
     }
 
     std::size_t size() const { return m_values.size(); }
+    auto begin() const { return m_values.begin(); }
+    auto end() const { return m_values.end(); }
 
 private:
     /** Evicts entries down to the capacity, but never the entry of @p insertedKey. */
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -65,6 +65,12 @@
 constexpr Milliseconds seedTimeout{1200};
 /** Interval between requests for the first registry copy, each to a random seed. */
 constexpr Milliseconds seedRetryInterval{200};
+/**
+ * Each host with crash records sends them to this many random hosts at this interval, so that a
+ * host that has missed the broadcast of a change learns of it within about a second.
+ */
+constexpr std::size_t crashGossipFanout = 2;
+constexpr Milliseconds crashGossipInterval{1000};
 /**
  * Registry changes up to this size are broadcast in a datagram. For larger changes only a notice is
  * broadcast, and the other hosts request the changes over a stream.
@@ -336,6 +342,7 @@
                           std::chrono::duration_cast<Microseconds>(now - due));
         m_placement.tick(now);
         startProbes(now);
+        shareCrashRecords(now);
         if (now < nextReportAt)
             continue;
         nextReportAt = now + loadReportInterval();
@@ -424,7 +431,38 @@
         m_placement.handle(header.sender, *report, now);
     } else if (const auto *cancel = std::get_if<PlacementCancel>(&message)) {
         m_placement.handle(header.sender, *cancel, now);
+    } else if (const auto *records = std::get_if<CrashRecords>(&message)) {
+        handleCrashRecords(header.sender, *records, now);
+    }
+}
+
+template <EdgePlatform P>
+void EdgeHost<P>::shareCrashRecords(TimePoint now)
+{
+    if (!m_hasRequestedCrashRecords && m_peers.hostCount() > 1) {
+        m_hasRequestedCrashRecords = true;
+        m_peers.broadcast(CrashRecords{});
     }
+    const CrashRecords changes = m_placement.takeCrashChanges(now);
+    if (!changes.records.empty())
+        m_peers.broadcast(changes);
+    if (now < m_nextCrashGossipAt)
+        return;
+    m_nextCrashGossipAt = now + edge_detail::crashGossipInterval;
+    const CrashRecords records = m_placement.crashRecords(now);
+    if (!records.records.empty())
+        m_peers.sendToRandom(records, edge_detail::crashGossipFanout, m_random);
+}
+
+template <EdgePlatform P>
+void EdgeHost<P>::handleCrashRecords(HostId from, const CrashRecords &message, TimePoint now)
+{
+    m_placement.handle(from, message, now);
+    if (!message.records.empty())
+        return;
+    const CrashRecords records = m_placement.crashRecords(now);
+    if (!records.records.empty())
+        m_peers.send(from, records);
 }
 
 template <EdgePlatform P>
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -92,6 +92,8 @@
     void applyAggregatedLoad(const AggregatedLoad &aggregated, TimePoint now);
     void applyRolloutProgress(const ServiceId &service, const RolloutProgress &progress);
     void writeFinalRolloutStatuses(TimePoint now);
+    void shareCrashRecords(TimePoint now);
+    void handleCrashRecords(HostId from, const CrashRecords &message, TimePoint now);
     void startProbes(TimePoint now);
     void handleProbeResult(const ServiceId &service, const TargetId &target,
                            const std::variant<ProbeResult, ProbeFailure> &outcome);
@@ -112,6 +114,9 @@
     SharedPlacement<EdgePeers> m_placement;
     StreamTransport<EdgeCodec> m_streams;
     LoadAggregator m_aggregator;
+    /** Whether the other hosts were asked for their crash records, once after the start. */
+    bool m_hasRequestedCrashRecords = false;
+    TimePoint m_nextCrashGossipAt{};
     TargetProber m_prober;
     std::map<ServiceId, ActiveRollout> m_rollouts;
     Gateway m_gateway;
--- a/include/endivedock/edge/edge_message.h
+++ b/include/endivedock/edge/edge_message.h
@@ -4,6 +4,7 @@
 #include "endivedock/loadreports/messages.h"
 #include "endivedock/peers.h"
 #include "endivedock/placement/messages.h"
+#include "endivedock/quarantine/messages.h"
 
 #include <string>
 #include <variant>
@@ -14,9 +15,9 @@
  * All messages between edge hosts. The position of a type is part of the encoding, so new types
  * must be appended.
  */
-using EdgeMessage =
-        std::variant<HostLoadReport, AggregatedLoad, RegistryNotice, RegistryRequest, RegistryDelta,
-                     PlacementRequest, PlacementAnswer, AttemptReport, PlacementCancel>;
+using EdgeMessage = std::variant<HostLoadReport, AggregatedLoad, RegistryNotice, RegistryRequest,
+                                 RegistryDelta, PlacementRequest, PlacementAnswer, AttemptReport,
+                                 PlacementCancel, CrashRecords>;
 
 /** Encodes messages between edge hosts in cereal's portable binary format. */
 struct EdgeCodec
--- a/include/endivedock/edge/edge_peers.h
+++ b/include/endivedock/edge/edge_peers.h
@@ -48,6 +48,8 @@
 
     /** Sends a message to all other known hosts. */
     void broadcast(const EdgeMessage &message);
+    /** Sends a message to @p count random hosts, or to all if there are fewer. */
+    void sendToRandom(const EdgeMessage &message, std::size_t count, Random &random);
     // PlacingHostSelector describes these functions.
     void recordRequest(HostId host, TimePoint now)
     {
--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -238,7 +238,7 @@
         return;
     const TimePoint now = SteadyClock().now();
     const auto placedBy = balancer->finish(report, now);
-    logCrashEvents();
+    logCrashEvents(m_self);
     if (placedBy && *placedBy != m_self)
         m_peers.send(*placedBy, report);
     dispatch(*balancer, now);
@@ -286,7 +286,7 @@
 {
     if (ServiceBalancer *balancer = find(report.service)) {
         balancer->finish(report, now);
-        logCrashEvents();
+        logCrashEvents(m_self);
         dispatch(*balancer, now);
     }
 }
@@ -300,6 +300,13 @@
     }
 }
 
+template <PlacementPeers Peers>
+void SharedPlacement<Peers>::handle(HostId from, const CrashRecords &records, TimePoint now)
+{
+    m_suspects.merge(records, now);
+    logCrashEvents(from);
+}
+
 template <PlacementPeers Peers>
 void SharedPlacement<Peers>::dispatch(ServiceBalancer &balancer, TimePoint now)
 {
@@ -308,14 +315,14 @@
 }
 
 template <PlacementPeers Peers>
-void SharedPlacement<Peers>::logCrashEvents()
+void SharedPlacement<Peers>::logCrashEvents(HostId source)
 {
     for (const auto &event : m_suspects.takeEvents()) {
         const std::string kind(name(event.kind));
         m_metrics.count("endivedock_crash_events_total", {{"kind", kind}});
-        m_log.info("Crash suspicion",
-                   {field("event", kind), field("content", event.request),
-                    field("target", event.target), field("crashes", event.crashes)});
+        m_log.info("Crash suspicion", {field("event", kind), field("content", event.request),
+                                       field("target", event.target),
+                                       field("crashes", event.crashes), field("from", source)});
     }
 }
 
@@ -331,7 +338,7 @@
         m_suspects.recordTargetAlive(target, now);
     else if (probe->id)
         m_suspects.recordTargetEnded(target, now);
-    logCrashEvents();
+    logCrashEvents(m_self);
     if (ServiceBalancer *balancer = find(service))
         balancer->applyProbeResult(target, probe ? std::optional(*probe) : std::nullopt, now);
 }
@@ -377,7 +384,7 @@
 {
     for (auto &[service, balancer] : m_balancers)
         dispatch(*balancer, now);
-    logCrashEvents();
+    logCrashEvents(m_self);
 }
 
 template <PlacementPeers Peers>
--- a/include/endivedock/edge/shared_placement.h
+++ b/include/endivedock/edge/shared_placement.h
@@ -72,6 +72,11 @@
     void handle(HostId from, const PlacementAnswer &answer, TimePoint now);
     void handle(HostId from, const AttemptReport &report, TimePoint now);
     void handle(HostId from, const PlacementCancel &cancel, TimePoint now);
+    void handle(HostId from, const CrashRecords &records, TimePoint now);
+
+    // CrashSuspects describes these functions.
+    CrashRecords takeCrashChanges(TimePoint now) { return m_suspects.takeChanges(now); }
+    CrashRecords crashRecords(TimePoint now) { return m_suspects.records(now); }
 
     /**
      * Updates the balancers of all services from the registry.
@@ -115,7 +120,8 @@
                                                     HostId placedBy, const PlacementAnswer &answer);
     PlacedTarget makePlacedTarget(const PlacementRequest &request, const TargetChoice &choice,
                                   HostId placedBy);
-    void logCrashEvents();
+    /** @param source  host from which this host learned of the events */
+    void logCrashEvents(HostId source);
     void logRefusal(const PlacementRequest &request, const ServiceBalancer::Outcome &outcome);
     void deliver(const PlacementDecision &decision);
     void dispatch(ServiceBalancer &balancer, TimePoint now);
--- a/include/endivedock/quarantine/crash_suspects.h
+++ b/include/endivedock/quarantine/crash_suspects.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "endivedock/core.h"
+#include "endivedock/quarantine/messages.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -85,6 +87,8 @@
         RecentlyAnswered,
         /** The request has enough crashes to be refused. */
         Quarantined,
+        /** Another host reported the crash. */
+        Learned,
         /** A quarantined request is sent once more, to find out whether it still crashes. */
         Trial,
         /** The content of a suspect was answered, which ends the suspicion. */
@@ -158,6 +162,14 @@
      */
     bool tryAdmit(const Fingerprint &request, TimePoint now);
 
+    // What hosts tell each other.
+    /** @return the records that have changed by what this host saw since the last call */
+    CrashRecords takeChanges(TimePoint now);
+    /** @return the most recent records, as many as a message may hold */
+    CrashRecords records(TimePoint now);
+    /** Adds what another host knows; the order and the number of the messages do not matter. */
+    void merge(const CrashRecords &message, TimePoint now);
+
     std::vector<CrashEvent> takeEvents() { return std::exchange(m_events, {}); }
     std::size_t size() const { return m_records.size(); }
 
@@ -169,6 +181,9 @@
         ZoneId zone;
         TimePoint startedAt{};
         TimePoint at{};
+        /** Whether the target is known to have ended; only then the crash is told to other hosts.
+         */
+        bool isVerified = false;
     };
     /** What is known of requests with one fingerprint. */
     struct Record
@@ -194,9 +209,12 @@
     std::size_t crashCount(const Fingerprint &request, TimePoint now);
     /** @param record  has at least one crash */
     static TimePoint lastCrashAt(const Record &record);
+    void mergeRecord(const CrashRecord &reported, TimePoint now);
+    static CrashRecord report(const Fingerprint &request, const Record &record, TimePoint now);
     bool isExpired(const LostAttempt &attempt, TimePoint now) const;
     TimePoint nextTrialAt(const Record &record) const;
-    void addCrash(const Fingerprint &request, const Crash &crash);
+    /** @return false if the crash was known */
+    bool addCrash(const Fingerprint &request, const Crash &crash);
     void removeCrash(const LostAttempt &attempt);
     void purgeExpiredLosses(TimePoint now);
     bool isRecentlyAnswered(const Fingerprint &request, TimePoint at);
@@ -210,6 +228,8 @@
     /** Lost attempts whose targets are not known to have ended. */
     std::map<TargetId, std::vector<UnverifiedLoss>> m_unverifiedLosses;
     TimePoint m_nextPurgeAt{};
+    /** Records whose change has not been told to the other hosts yet. */
+    std::set<Fingerprint> m_changed;
     std::vector<CrashEvent> m_events;
 };
 
--- a/src/edge/edge_message.cpp
+++ b/src/edge/edge_message.cpp
@@ -4,6 +4,7 @@
 #include "endivedock/loadreports/codec.h"
 #include "endivedock/peers/cereal_codec.h"
 #include "endivedock/placement/codec.h"
+#include "endivedock/quarantine/codec.h"
 
 namespace endivedock {
 
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -1,6 +1,7 @@
 #include "endivedock/edge/edge_peers.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace endivedock {
@@ -42,6 +43,14 @@
         m_datagrams.send(host, address, message);
 }
 
+void EdgePeers::sendToRandom(const EdgeMessage &message, std::size_t count, Random &random)
+{
+    std::vector<std::pair<HostId, Address>> chosen;
+    std::sample(m_addresses.begin(), m_addresses.end(), std::back_inserter(chosen), count, random);
+    for (const auto &[host, address] : chosen)
+        m_datagrams.send(host, address, message);
+}
+
 std::optional<Address> EdgePeers::address(HostId host) const
 {
     const auto found = m_addresses.find(host);
--- a/src/quarantine/crash_suspects.cpp
+++ b/src/quarantine/crash_suspects.cpp
@@ -8,6 +8,8 @@
 
 /** Losses that are kept of one target until it is known whether the target has ended. */
 constexpr std::size_t maxLossesOfTarget = 64;
+/** Records in one message, so that it fits a datagram. */
+constexpr std::size_t maxReportedRecords = 16;
 /** Events that are kept until they are taken. */
 constexpr std::size_t maxEvents = 256;
 /** Crashes that are kept of one request; more do not change a decision. */
@@ -28,6 +30,8 @@
         return "recently-answered";
     case CrashEvent::Kind::Quarantined:
         return "quarantined";
+    case CrashEvent::Kind::Learned:
+        return "learned";
     case CrashEvent::Kind::Trial:
         return "trial";
     case CrashEvent::Kind::Cleared:
@@ -53,7 +57,7 @@
     if (attempt.isSilent)
         return;
     addEvent(CrashEvent::Kind::AttemptLost, attempt.request, attempt.target, now);
-    addCrash(attempt.request, {attempt.target, attempt.zone, attempt.startedAt, now});
+    addCrash(attempt.request, {attempt.target, attempt.zone, attempt.startedAt, now, false});
 }
 
 bool CrashSuspects::isRecentlyAnswered(const Fingerprint &request, TimePoint at)
@@ -64,16 +68,20 @@
 
 void CrashSuspects::recordCrash(const Fingerprint &request, const TargetId &target, TimePoint now)
 {
-    addCrash(request, {target, ZoneId(), now, now});
+    addCrash(request, {target, ZoneId(), now, now, true});
+    m_changed.insert(request);
 }
 
-void CrashSuspects::addCrash(const Fingerprint &request, const Crash &crash)
+bool CrashSuspects::addCrash(const Fingerprint &request, const Crash &crash)
 {
     findUnexpired(request, crash.at); // Resets an expired record.
     Record &record = m_records[request];
-    for (const auto &known : record.crashes) {
-        if (known.target == crash.target && crash.at - known.at <= m_settings.crashMergeWindow)
-            return;
+    for (auto &known : record.crashes) {
+        if (known.target != crash.target || crash.at - known.at > m_settings.crashMergeWindow ||
+            known.at - crash.at > m_settings.crashMergeWindow)
+            continue;
+        known.isVerified = known.isVerified || crash.isVerified;
+        return false;
     }
     const std::size_t countBefore = countCrashes(record);
     if (record.crashes.size() >= maxCrashes)
@@ -82,6 +90,7 @@
     if (countBefore < m_settings.crashesToQuarantine &&
         countCrashes(record) >= m_settings.crashesToQuarantine)
         addEvent(CrashEvent::Kind::Quarantined, request, crash.target, crash.at);
+    return true;
 }
 
 void CrashSuspects::removeCrash(const LostAttempt &attempt)
@@ -90,7 +99,7 @@
     if (record == nullptr)
         return;
     std::erase_if(record->crashes, [&attempt](const Crash &crash) {
-        return crash.target == attempt.target && crash.at == attempt.lostAt;
+        return crash.target == attempt.target && crash.at == attempt.lostAt && !crash.isVerified;
     });
 }
 
@@ -102,8 +111,10 @@
         return;
     const bool wasSuspect = countCrashes(*record) > 0;
     record->lastAnsweredAt = now;
-    if (wasSuspect)
-        addEvent(CrashEvent::Kind::Cleared, request, TargetId(), now);
+    if (!wasSuspect)
+        return;
+    m_changed.insert(request);
+    addEvent(CrashEvent::Kind::Cleared, request, TargetId(), now);
 }
 
 void CrashSuspects::recordTargetAlive(const TargetId &target, TimePoint since)
@@ -152,7 +163,8 @@
         if (isExpired(attempt, now) || isRecentlyAnswered(attempt.request, attempt.lostAt))
             continue;
         addCrash(attempt.request,
-                 {attempt.target, attempt.zone, attempt.startedAt, attempt.lostAt});
+                 {attempt.target, attempt.zone, attempt.startedAt, attempt.lostAt, true});
+        m_changed.insert(attempt.request);
         addEvent(CrashEvent::Kind::TargetEnded, attempt.request, target, now);
     }
 }
@@ -217,7 +229,7 @@
         const bool isSameEvent =
                 std::any_of(counted.begin(), counted.end(), [&crash](const Crash *other) {
                     return !crash.zone.value().empty() && crash.zone == other->zone &&
-                           crash.startedAt <= other->at && other->startedAt <= crash.at;
+                           crash.startedAt < other->at && other->startedAt < crash.at;
                 });
         if (!isSameEvent)
             counted.push_back(&crash);
@@ -265,10 +277,93 @@
     if (!isTrialDue(request, now))
         return false;
     m_records.find(request)->lastTrialAt = now;
+    m_changed.insert(request);
     addEvent(CrashEvent::Kind::Trial, request, TargetId(), now);
     return true;
 }
 
+CrashRecord CrashSuspects::report(const Fingerprint &request, const Record &record, TimePoint now)
+{
+    CrashRecord result;
+    result.request = request;
+    for (const auto &crash : record.crashes) {
+        if (crash.isVerified)
+            result.crashes.push_back(
+                    {crash.target, crash.zone,
+                     std::chrono::duration_cast<Microseconds>(now - crash.startedAt),
+                     std::chrono::duration_cast<Microseconds>(now - crash.at)});
+    }
+    if (record.lastAnsweredAt)
+        result.answerAge = toMilliseconds(now - *record.lastAnsweredAt);
+    if (record.lastTrialAt)
+        result.trialAge = toMilliseconds(now - *record.lastTrialAt);
+    return result;
+}
+
+CrashRecords CrashSuspects::takeChanges(TimePoint now)
+{
+    CrashRecords result;
+    while (!m_changed.empty() && result.records.size() < maxReportedRecords) {
+        const Fingerprint request = *m_changed.begin();
+        m_changed.erase(m_changed.begin());
+        if (const Record *record = findUnexpired(request, now))
+            result.records.push_back(report(request, *record, now));
+    }
+    return result;
+}
+
+CrashRecords CrashSuspects::records(TimePoint now)
+{
+    CrashRecords result;
+    for (const auto &[request, record] : m_records) {
+        if (!record.crashes.empty() && now - lastCrashAt(record) <= m_settings.retention)
+            result.records.push_back(report(request, record, now));
+    }
+    std::erase_if(result.records, [](const CrashRecord &record) { return record.crashes.empty(); });
+    if (result.records.size() <= maxReportedRecords)
+        return result;
+    // Those with the most crashes do the most harm.
+    std::sort(result.records.begin(), result.records.end(),
+              [](const CrashRecord &a, const CrashRecord &b) {
+                  return a.crashes.size() > b.crashes.size();
+              });
+    result.records.resize(maxReportedRecords);
+    return result;
+}
+
+void CrashSuspects::merge(const CrashRecords &message, TimePoint now)
+{
+    for (const auto &record : message.records)
+        mergeRecord(record, now);
+}
+
+void CrashSuspects::mergeRecord(const CrashRecord &reported, TimePoint now)
+{
+    for (const auto &crash : reported.crashes) {
+        const TimePoint at = now - crash.age;
+        if (now - at <= m_settings.retention &&
+            addCrash(reported.request, {crash.target, crash.zone, now - crash.startAge, at, true}))
+            addEvent(CrashEvent::Kind::Learned, reported.request, crash.target, now);
+    }
+    Record *record = findUnexpired(reported.request, now);
+    if (record == nullptr)
+        return;
+    // Times that only the transfer has shifted are not newer.
+    const auto isNewer = [this](const std::optional<TimePoint> &known, TimePoint at) {
+        return !known || at > *known + m_settings.crashMergeWindow;
+    };
+    if (reported.trialAge && isNewer(record->lastTrialAt, now - *reported.trialAge))
+        record->lastTrialAt = now - *reported.trialAge;
+    if (reported.answerAge && isNewer(record->lastAnsweredAt, now - *reported.answerAge))
+        record->lastAnsweredAt = now - *reported.answerAge;
+    // An answer that this host saw excuses the request on all hosts.
+    const TimePoint *answeredAt = m_lastAnswers.find(reported.request);
+    if (answeredAt == nullptr || !isNewer(record->lastAnsweredAt, *answeredAt))
+        return;
+    record->lastAnsweredAt = *answeredAt;
+    m_changed.insert(reported.request);
+}
+
 void CrashSuspects::addEvent(CrashEvent::Kind kind, const Fingerprint &request,
                              const TargetId &target, TimePoint now)
 {
--- a/tests/quarantine/quarantine_test.cpp
+++ b/tests/quarantine/quarantine_test.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST(contentThatIsAnsweredIsNoCause);
     CPPUNIT_TEST(quarantinedRequestIsTriedAtGrowingIntervals);
     CPPUNIT_TEST(unresponsiveTargetsAreProbedAgain);
+    CPPUNIT_TEST(otherHostsRefuseWhatOneHostQuarantined);
+    CPPUNIT_TEST(answerOnAnyHostClearsASuspect);
+    CPPUNIT_TEST(onlyVerifiedCrashesAreShared);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,6 +164,71 @@
         CPPUNIT_ASSERT(m_suspects.isSuspect(m_request, m_now));
     }
 
+    /**
+     * The incident: hosts that were restarted, or took over, sent requests that crash targets
+     * again, since only the placing host knew of the crashes. Messages may be repeated and
+     * reordered.
+     */
+    void otherHostsRefuseWhatOneHostQuarantined()
+    {
+        // The second attempt, in the same zone, starts as soon as the first one is lost.
+        for (const char *target : {"t1", "t2"}) {
+            const TimePoint startedAt = m_now;
+            m_now += Microseconds(300);
+            m_suspects.recordLoss(
+                    {m_request, TargetId(target), ZoneId("a"), startedAt, m_now, false});
+            m_suspects.recordTargetEnded(TargetId(target), m_now);
+        }
+        const CrashRecords changes = m_suspects.takeChanges(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.records.size());
+        CPPUNIT_ASSERT(m_suspects.takeChanges(m_now).records.empty());
+        CrashSuspects other;
+        for (int i = 0; i < 3; ++i) {
+            other.merge(m_suspects.records(m_now), m_now + Milliseconds(2));
+            other.merge(changes, m_now + Milliseconds(3));
+        }
+        CPPUNIT_ASSERT(other.isQuarantined(m_request, m_now + Seconds(1)));
+        // What was learned is not told again as news, but on request.
+        CPPUNIT_ASSERT(other.takeChanges(m_now).records.empty());
+        CrashSuspects restarted;
+        restarted.merge(other.records(m_now), m_now);
+        CPPUNIT_ASSERT(restarted.isQuarantined(m_request, m_now + Seconds(1)));
+        // Only one host tries the request again.
+        m_now += Seconds(3);
+        CPPUNIT_ASSERT(other.tryAdmit(m_request, m_now));
+        restarted.merge(other.takeChanges(m_now), m_now);
+        CPPUNIT_ASSERT(!restarted.tryAdmit(m_request, m_now + Milliseconds(100)));
+    }
+
+    /** A host that was just started sees two crashes of a request that other hosts serve. */
+    void answerOnAnyHostClearsASuspect()
+    {
+        CrashSuspects serving;
+        serving.recordResponse(m_request, m_now - Seconds(5));
+        lose("t1", "a");
+        m_suspects.recordTargetEnded(TargetId("t1"), m_now);
+        lose("t2", "b");
+        m_suspects.recordTargetEnded(TargetId("t2"), m_now);
+        CPPUNIT_ASSERT(m_suspects.isQuarantined(m_request, m_now));
+        serving.merge(m_suspects.takeChanges(m_now), m_now);
+        CPPUNIT_ASSERT(!serving.isSuspect(m_request, m_now));
+        m_suspects.merge(serving.takeChanges(m_now), m_now);
+        CPPUNIT_ASSERT(!m_suspects.isSuspect(m_request, m_now));
+    }
+
+    void onlyVerifiedCrashesAreShared()
+    {
+        lose("t1", "a");
+        lose("t2", "b");
+        CPPUNIT_ASSERT(m_suspects.isQuarantined(m_request, m_now));
+        CPPUNIT_ASSERT(m_suspects.takeChanges(m_now).records.empty());
+        CPPUNIT_ASSERT(m_suspects.records(m_now).records.empty());
+        m_suspects.recordTargetEnded(TargetId("t2"), m_now);
+        const CrashRecords changes = m_suspects.takeChanges(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.records.at(0).crashes.size());
+        CPPUNIT_ASSERT(changes.records.at(0).crashes.at(0).target == TargetId("t2"));
+    }
+
 private:
     void lose(const char *target, const char *zone, bool isSilent = false)
     {
