gateway: responses without end are ended at the deadline

What callers saw: a request stayed open, and its target busy, for as long as the target sent bytes. Cause: the deadline was left to the timer of the stream, which only ends an operation that has to wait. While bytes arrive without end each read completes at once. A streamed response to a caller that reads slowly was bounded by 30 s for each piece, not by the deadline. The same holds for the responses of probes. Change: the connection to a target checks the deadline before each read of a head or a piece of a body; a streamed response must be sent by the deadline of its request.

--- a/include/endivedock/gateway/caller_connection.h
+++ b/include/endivedock/gateway/caller_connection.h
@@ -43,6 +43,8 @@
     bool omitsBody = false;
     /** The connection stays open after the response. */
     bool keepAlive = true;
+    /** Time by which a streamed response must have been sent; the caller may read it slowly. */
+    TimePoint sendBy = TimePoint::max();
 };
 
 /**
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -662,6 +662,7 @@
 {
     CallerConnection &caller = session->caller;
     co_await awaitResponseTurn(session, request->sequenceNumber);
+    request->responseOptions.sendBy = request->plan.deadline;
     try {
         std::vector<char> piece = std::move(start);
         std::size_t count = piece.size();
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -158,6 +158,7 @@
         for (const auto &field : head.fields)
             response.insert(field.name, field.value);
         m_isContinueExpected = false;
+        m_sendBy = options.sendBy;
         m_hasBody = !head.hasNoBody && !options.omitsBody;
         if (head.framing.length)
             response.content_length(*head.framing.length);
@@ -210,7 +211,7 @@
     Task<> write(bool headerOnly)
     {
         boost::system::error_code error;
-        m_stream.expires_after(bodyPieceTimeout);
+        m_stream.expires_at(std::min<TimePoint>(SteadyClock().now() + bodyPieceTimeout, m_sendBy));
         if (headerOnly)
             co_await http::async_write_header(m_stream, *m_serializer,
                                               asio::redirect_error(asio::use_awaitable, error));
@@ -256,6 +257,7 @@
     std::vector<char> m_scratchBuffer;
     bool m_isContinueExpected = false;
     bool m_hasBody = true;
+    TimePoint m_sendBy = TimePoint::max();
 };
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
--- a/src/gateway/target_connection.cpp
+++ b/src/gateway/target_connection.cpp
@@ -66,7 +66,21 @@
         m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
 
-    void setDeadline(TimePoint deadline) { m_stream.expires_at(deadline); }
+    void setDeadline(TimePoint deadline)
+    {
+        m_deadline = deadline;
+        m_stream.expires_at(deadline);
+    }
+
+    /**
+     * The timer of the stream only ends an operation that has to wait, which does not happen while
+     * a target sends without end.
+     */
+    void throwIfOverdue() const
+    {
+        if (SteadyClock().now() >= m_deadline)
+            throw targetError(beast::error::timeout);
+    }
 
     Task<> sendHead(const RequestHead &head)
     {
@@ -152,6 +166,7 @@
         m_parser->skip(m_isHeadRequest);
         boost::system::error_code error;
         do {
+            throwIfOverdue();
             co_await http::async_read_header(m_stream, m_buffer, *m_parser,
                                              asio::redirect_error(asio::use_awaitable, error));
             if (error)
@@ -186,6 +201,7 @@
     {
         std::size_t bytesRead = 0;
         while (bytesRead == 0 && !m_parser->is_done()) {
+            throwIfOverdue();
             auto &body = m_parser->get().body();
             body.data = into.data();
             body.size = into.size();
@@ -240,6 +256,7 @@
     /** m_isReusable has been set for the present response. */
     bool m_isReuseDecided = false;
     std::optional<Milliseconds> m_keepAliveTimeout;
+    TimePoint m_deadline = TimePoint::max();
 };
 
 TargetConnection::TargetConnection(const asio::any_io_executor &executor)
