gateway: copies of a request share their fingerprint on all services

Cause: the fingerprint contained the service, so that a request on a split route, or on one that moves, had to crash two targets of each service. The host that the caller names was not part of it. Measured: PlatformTest::copiesOnSplitRoutesShareTheirFingerprint, two fingerprints before, one after. Also: the codec of the crash records is in EdgeTest::messagesRoundTripThroughCodec.

--- a/include/endivedock/core/ids.h
+++ b/include/endivedock/core/ids.h
@@ -68,7 +68,7 @@
 using ViewNumber = StrongId<struct ViewTag, std::int64_t>;
 /** Number of a shard: the services and idempotency keys that are assigned to the same hosts. */
 using ShardId = StrongId<struct ShardTag, std::uint16_t>;
-/** Hash of a request's service, method, path and the start of its body. */
+/** Hash of a request's authority, method, path and the start of its body. */
 using Fingerprint = StrongId<struct FingerprintTag, std::uint64_t>;
 /** Hash of a service and an Idempotency-Key value. */
 using IdempotencyKeyHash = StrongId<struct IdempotencyKeyHashTag, std::uint64_t>;
--- a/include/endivedock/gateway/request_plan.h
+++ b/include/endivedock/gateway/request_plan.h
@@ -15,6 +15,11 @@
 struct RequestPlan
 {
     ServiceId service;
+    /**
+     * What the path is relative to, as the caller names it: a service, or a host whose routes lead
+     * to several services. Equal paths of different authorities are unrelated.
+     */
+    std::string authority;
     /** Path and query that are sent to the target: without team and service. */
     std::string targetPath;
     /** Index of the matching route rule of the service; -1 if no rule matches. */
@@ -47,8 +52,8 @@
                                                const Declarations *declarations, TimePoint now);
 
 /**
- * Returns a hash of the service, the method, the target path and the buffered part of the body.
- * Copies of one request have equal fingerprints.
+ * Returns a hash of the authority, the method, the target path and the buffered part of the body.
+ * Copies of one request have equal fingerprints, also if they go to different services.
  */
 Fingerprint fingerprintOf(const RequestPlan &plan, std::string_view method,
                           std::string_view bufferedBody);
--- a/src/gateway/request_plan.cpp
+++ b/src/gateway/request_plan.cpp
@@ -80,6 +80,7 @@
 
     RequestPlan plan;
     plan.service = service->id;
+    plan.authority = service->id.value();
     plan.targetPath = path->rest;
     plan.route = route ? static_cast<std::int16_t>(*route) : std::int16_t{-1};
     plan.priority = rule.priority;
@@ -98,7 +99,7 @@
 Fingerprint fingerprintOf(const RequestPlan &plan, std::string_view method,
                           std::string_view bufferedBody)
 {
-    XXH64_hash_t hash = XXH3_64bits(plan.service.value().data(), plan.service.value().size());
+    XXH64_hash_t hash = XXH3_64bits(plan.authority.data(), plan.authority.size());
     hash = XXH3_64bits_withSeed(method.data(), method.size(), hash);
     hash = XXH3_64bits_withSeed(plan.targetPath.data(), plan.targetPath.size(), hash);
     return Fingerprint(XXH3_64bits_withSeed(bufferedBody.data(), bufferedBody.size(), hash));
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -204,6 +204,15 @@
         const EdgeMessage message = EdgeCodec::decode(EdgeCodec::encode(header, report), decoded);
         CPPUNIT_ASSERT(decoded.receiver == HostId(4));
         CPPUNIT_ASSERT(std::get<AttemptReport>(message).load == report.load);
+        const CrashReport crash{TargetId("i-1"), ZoneId("a"), Microseconds(7), Microseconds(5)};
+        const CrashRecords records{{{Fingerprint(9), {crash}, std::nullopt, Milliseconds(3)}}};
+        const EdgeMessage recordsMessage =
+                EdgeCodec::decode(EdgeCodec::encode(header, records), decoded);
+        const CrashRecord &record = std::get<CrashRecords>(recordsMessage).records.at(0);
+        CPPUNIT_ASSERT(record.request == Fingerprint(9) && !record.answerAge &&
+                       record.trialAge == Milliseconds(3));
+        CPPUNIT_ASSERT(record.crashes.at(0).target == TargetId("i-1") &&
+                       record.crashes.at(0).startAge == Microseconds(7));
         const std::string text = EdgeCodec::encode(header, report);
         for (std::size_t size = 0; size < text.size(); ++size)
             CPPUNIT_ASSERT_THROW(EdgeCodec::decode(text.substr(0, size), decoded), MessageError);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(malformedTargetEntriesAreRefused);
     CPPUNIT_TEST(readsRolloutOrdersAndWritesStatuses);
     CPPUNIT_TEST(plansByRoute);
+    CPPUNIT_TEST(copiesOnSplitRoutesShareTheirFingerprint);
     CPPUNIT_TEST(refusalStatusMatchesRunCertainty);
     CPPUNIT_TEST(responsesAreMatchedByIdAndSignature);
     CPPUNIT_TEST(readsLoadAndRemainingWarmup);
@@ -210,6 +211,29 @@
                              std::string(*findField(fields, "request-deadline-ms")));
     }
 
+    /**
+     * A request that crashes targets was recognised for each service of a split route separately,
+     * and anew after its route had moved to another service.
+     */
+    void copiesOnSplitRoutesShareTheirFingerprint()
+    {
+        std::string text(configurationText);
+        text.replace(text.find("\"weight\": 0"), 11, "\"weight\": 10");
+        configure(std::move(text));
+        std::set<ServiceId> services;
+        std::set<Fingerprint> fingerprints;
+        for (int i = 0; i < 40; ++i) {
+            const auto planned = m_front.plan(makeHead("/a/x"), m_now);
+            services.insert(std::get<RequestPlan>(planned).service);
+            fingerprints.insert(fingerprintOf(std::get<RequestPlan>(planned), "GET", ""));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), services.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fingerprints.size());
+        const auto other = m_front.plan(makeHead("/a/y"), m_now);
+        CPPUNIT_ASSERT(
+                !fingerprints.contains(fingerprintOf(std::get<RequestPlan>(other), "GET", "")));
+    }
+
     void refusalStatusMatchesRunCertainty()
     {
         const auto noConfiguration = m_front.plan(makeHead("/a/"), m_now);
@@ -411,11 +435,11 @@
         runTask(context, useStore(store));
     }
 
-    void configure()
+    void configure(std::string text = std::string(configurationText))
     {
         StoreChanges changes;
         changes.revision = Revision(1);
-        changes.changes.push_back({"op/config", std::string(configurationText), Revision(1)});
+        changes.changes.push_back({"op/config", std::move(text), Revision(1)});
         m_registry.applyChanges(changes, m_now);
     }
 
