quarantine: losses that nobody else knows of are not broadcast

Cause: an answer after a lost attempt marked the record as changed, so that each reset connection whose retry was answered was broadcast to all hosts, with no crash in it. Found while reading the change. Change: only records with a verified crash are told.

--- a/src/quarantine/crash_suspects.cpp
+++ b/src/quarantine/crash_suspects.cpp
@@ -302,8 +302,13 @@
     while (!m_changed.empty() && result.records.size() < maxReportedRecords) {
         const Fingerprint request = *m_changed.begin();
         m_changed.erase(m_changed.begin());
-        if (const Record *record = findUnexpired(request, now))
-            result.records.push_back(report(request, *record, now));
+        const Record *record = findUnexpired(request, now);
+        if (record == nullptr)
+            continue;
+        // Without a verified crash there is nothing that other hosts have to know.
+        CrashRecord changed = report(request, *record, now);
+        if (!changed.crashes.empty())
+            result.records.push_back(std::move(changed));
     }
     return result;
 }
--- a/tests/quarantine/quarantine_test.cpp
+++ b/tests/quarantine/quarantine_test.cpp
@@ -223,6 +223,11 @@
         CPPUNIT_ASSERT(m_suspects.isQuarantined(m_request, m_now));
         CPPUNIT_ASSERT(m_suspects.takeChanges(m_now).records.empty());
         CPPUNIT_ASSERT(m_suspects.records(m_now).records.empty());
+        // An answer after losses that nobody else knows of is no news for other hosts.
+        CrashSuspects answered = m_suspects;
+        answered.recordResponse(m_request, m_now);
+        CPPUNIT_ASSERT(!answered.isSuspect(m_request, m_now));
+        CPPUNIT_ASSERT(answered.takeChanges(m_now).records.empty());
         m_suspects.recordTargetEnded(TargetId("t2"), m_now);
         const CrashRecords changes = m_suspects.takeChanges(m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.records.at(0).crashes.size());
