rollout: last responses of the old version are no comparison

Cause: good versions were rolled back after they had taken over all requests. While the old version gets no requests, 15 % of bad responses are tolerated, but a single response of the old version in the step counted as a comparison, and the tolerance fell to 3 %. Ruled out: a fault of the version; both are good ones. Change: the old version is compared if it sends 0.4 responses for each one of the new version; at the share of 0.6 it sends 0.67.

--- a/src/rollout/rollout_analysis.cpp
+++ b/src/rollout/rollout_analysis.cpp
@@ -19,7 +19,13 @@
 constexpr double priorResponses = 12;
 /** Responses of the old version on a route below which the route is not compared. */
 constexpr double minOldResponses = 8;
-/** As toleratedBadShare, but while the old version gets no requests in the current step. */
+/**
+ * The old version counts as compared in the current step if it has sent at least this many
+ * responses for each one of the new version. Responses to requests that were sent before the
+ * step began, and requests for which the new version had no room, are fewer.
+ */
+constexpr double minComparedRatio = 0.4;
+/** As toleratedBadShare, but while the old version is not compared in the current step. */
 constexpr double toleratedBadShareWithoutOld = 0.15;
 /** Tolerated ratio of the new version's bad share to the old version's. */
 constexpr double toleratedBadFactor = 1.5;
@@ -127,8 +133,9 @@
             continue;
         // While the old version gets no requests, a problem of all targets cannot be told from a
         // fault of the new version, so more bad responses are tolerated.
+        const bool isOldCompared = route.oldInStep >= minComparedRatio * route.newInStep;
         const double toleratedShare =
-                route.oldInStep > 0 ? toleratedBadShare : toleratedBadShareWithoutOld;
+                isOldCompared ? toleratedBadShare : toleratedBadShareWithoutOld;
         if (isWorse(route.newTotal, route.oldTotal, chernoffThreshold, toleratedShare))
             return FaultEvidence{index, "all", route.newTotal, route.oldTotal};
         if (isWorse(route.newRecent, route.oldRecent, chernoffThreshold, toleratedShare))
--- a/tests/rollout/rollout_test.cpp
+++ b/tests/rollout/rollout_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(faultOnOneRouteIsDetected);
     CPPUNIT_TEST(lateFaultIsDetected);
     CPPUNIT_TEST(faultUnderLoadIsDetected);
+    CPPUNIT_TEST(lastResponsesOfTheOldVersionAreNoComparison);
     CPPUNIT_TEST(deadlineRollsBackWithoutEvidence);
     CPPUNIT_TEST(rolledBackNeverBecomesDone);
     CPPUNIT_TEST(mergeIsIdempotentCommutativeAssociative);
@@ -138,6 +139,33 @@
         expectRolledBack(SimulatedVersion{.failureShare = 0.4, .minFaultyShare = 0.25}, 0.02);
     }
 
+    /**
+     * Load pattern: the new version has taken over all requests when a burst and slow machines make
+     * a tenth of the responses bad. The old version's last responses arrive after the step has
+     * begun; they do not show how the old version would serve this load.
+     */
+    void lastResponsesOfTheOldVersionAreNoComparison()
+    {
+        RolloutAnalysis analysis;
+        const RouteIndex route(0);
+        TimePoint now{Seconds(1000)};
+        const auto record = [&](VersionRole role, int count, int badEvery) {
+            for (int i = 0; i < count; ++i) {
+                now += requestInterval;
+                analysis.recordResponse(role, route, i % badEvery == badEvery - 1, Milliseconds(90),
+                                        now);
+            }
+        };
+        record(VersionRole::Old, 1600, 50);
+        record(VersionRole::New, 400, 50);
+        analysis.resetStep();
+        record(VersionRole::Old, 6, 50);
+        record(VersionRole::New, 800, 10);
+        CPPUNIT_ASSERT(!analysis.fault());
+        record(VersionRole::New, 400, 2);
+        CPPUNIT_ASSERT(analysis.fault());
+    }
+
     void deadlineRollsBackWithoutEvidence()
     {
         RolloutController controller(
