rollout: the old version takes the rest, and stays while the new one lacks room

Ruled out: the choice of targets (two of two were in use, 3.4 of 4 in flight). Change: in Settling, the old version takes requests for which the new one has no free slot. A new phase, Draining, follows, in which it takes none, so that it can be stopped. Settling lasts while the new version, without its largest zone, could run neither the requests in flight nor as many as the old one could. A timeout of a target that has sent nothing since is no sample of its version.

--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -137,6 +137,14 @@
     VersionPolicy &versions() { return m_versions; }
     /** @param share  fraction of the requests for the new version of the running rollout */
     void setRolloutShare(Share share) { m_rolloutShare = share; }
+    /**
+     * @return whether the old version can be stopped: if the zone with the most slots were lost,
+     * the new version could still run the requests that are in flight on average, or at least as
+     * many as the old version could
+     */
+    bool hasNewVersionCapacity(TimePoint now) const;
+    /** @param isAllowed  see hasOldVersionOverflow() */
+    void setOldVersionOverflow(bool isAllowed) { m_hasOldVersionOverflow = isAllowed; }
 
     /**
      * Places a request as the placing host. Other hosts may repeat a request; an attempt that
@@ -362,6 +370,11 @@
     std::optional<Candidate> pickFrom(std::vector<Candidate> &candidates,
                                       Spread spread = Spread::Even);
     Spread newVersionSpread() const;
+    /**
+     * @return the slots that the placing host may fill at the usable targets of one version, less
+     *         those of the zone with most of them; all of them if the service is in one zone
+     */
+    int slotsWithoutLargestZone(VersionRole role, TimePoint now) const;
     /**
      * @param requestsAhead  waiting requests that are served before this one
      * @param waited         time that the request has waited so far
@@ -412,6 +425,9 @@
     std::set<ZoneId> m_evacuatedZones;
     VersionPolicy m_versions;
     Share m_rolloutShare{0};
+    bool m_hasOldVersionOverflow = false;
+    /** Smoothed number of requests in flight at all targets; absent before the first sample. */
+    std::optional<double> m_meanInFlight;
     std::map<TargetId, TargetState> m_targets;
     std::map<GrantId, Grant> m_grants;
     /** Grants of this host to other hosts, so that a repeated request gets the same response. */
--- a/include/endivedock/balancing/target_state.h
+++ b/include/endivedock/balancing/target_state.h
@@ -5,6 +5,7 @@
 #include "endivedock/placement/messages.h"
 #include "endivedock/selection.h"
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <optional>
@@ -77,6 +78,8 @@
     void setInFlightOfOthers(Slots inFlight, TimePoint now);
     void recordSlowdown(const SlowdownReport &report);
     const SlowdownReport &slowdown() const { return m_slowdown; }
+    /** @return when the target last sent a response or a load report, to any host */
+    TimePoint lastSeenAt() const { return std::max(m_lastResponseAt, m_slowdown.at); }
     /**
      * @return the slowdown to expect now: the last report, which decays towards @p meanSlowdown
      * @param slowdownDecayTime  time constant of the exponential decay
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -352,6 +352,10 @@
         }
         if (m_registry.removeExpiredTargets(now))
             applyRegistryChange();
+        for (const auto &[service, rollout] : m_rollouts) {
+            if (const ServiceBalancer *balancer = m_placement.find(service))
+                m_aggregator.setNewVersionCapacity(service, balancer->hasNewVersionCapacity(now));
+        }
         m_aggregator.tick(now);
         sendLoadReports(now);
         writeFinalRolloutStatuses(now);
@@ -570,6 +574,7 @@
                                            field("revision", running->revision)});
             m_rollouts[service] = ActiveRollout{*running, now, std::nullopt, {}, {}, false};
             balancer->setRolloutShare(Share(0));
+            balancer->setOldVersionOverflow(false);
             startTask(m_executor, "verdict", writeRolloutStatus(service, RolloutState::Running));
         }
         m_aggregator.setRolloutOrder(service, running, m_rollouts.at(service).seenAt);
@@ -596,8 +601,10 @@
     if (merged.phase >= RolloutPhase::Done && rollout.endedAt == TimePoint{})
         rollout.endedAt = SteadyClock().now();
     rollout.progress = merged;
-    if (ServiceBalancer *balancer = m_placement.find(service))
+    if (ServiceBalancer *balancer = m_placement.find(service)) {
         balancer->setRolloutShare(trafficShareOf(merged));
+        balancer->setOldVersionOverflow(hasOldVersionOverflow(merged));
+    }
 }
 
 template <EdgePlatform P>
--- a/include/endivedock/loadreports/load_aggregator.h
+++ b/include/endivedock/loadreports/load_aggregator.h
@@ -37,6 +37,8 @@
      */
     void setRolloutOrder(const ServiceId &service, const std::optional<RolloutOrder> &order,
                          TimePoint startedAt);
+    /** See RolloutController::setNewVersionCapacity(). */
+    void setNewVersionCapacity(const ServiceId &service, bool hasCapacity);
     /** Advances the running rollouts for which reports have arrived to the time @p now. */
     void tick(TimePoint now);
     /**
--- a/include/endivedock/placement/placer-inl.h
+++ b/include/endivedock/placement/placer-inl.h
@@ -274,11 +274,11 @@
     if (!isNewVersionFirst)
         return pickWithRole(request, VersionRole::Old, now);
     const auto chosen = pickWithRole(request, VersionRole::New, now);
-    // Until the rollout is done, a request for which the new version has no capacity goes to the
+    // Until the old version drains, a request for which the new version has no capacity goes to the
     // old version. A request never goes from the old to the new version in this way.
-    const bool isDone =
-            m_rolloutController && m_rolloutController->progress().phase == RolloutPhase::Done;
-    return chosen || isDone ? chosen : pickWithRole(request, VersionRole::Old, now);
+    const bool isOldDraining =
+            m_rolloutController && m_rolloutController->progress().phase >= RolloutPhase::Draining;
+    return chosen || isOldDraining ? chosen : pickWithRole(request, VersionRole::Old, now);
 }
 
 template <PickPolicy Policy>
--- a/include/endivedock/rollout/rollout_controller.h
+++ b/include/endivedock/rollout/rollout_controller.h
@@ -10,11 +10,13 @@
 
 /**
  * Phase of a rollout. In Canary, the new version gets its smallest share of the requests; in
- * Ramping, the share rises; in Settling, the new version gets all requests, but can still be rolled
- * back. When the progress of two hosts is merged, the later enumerator wins, so that an end state
- * overrides all others and RolledBack overrides Done.
+ * Ramping, the share rises; in Settling, the new version gets all requests for which it has room,
+ * and the old version the rest; in Draining, the old version gets no requests, so that it can be
+ * stopped. Until then, the new version can be rolled back. When the progress of two hosts is
+ * merged, the later enumerator wins, so that an end state overrides all others and RolledBack
+ * overrides Done.
  */
-enum class RolloutPhase { Canary, Ramping, Settling, Done, RolledBack };
+enum class RolloutPhase { Canary, Ramping, Settling, Draining, Done, RolledBack };
 
 /** @return the stable external name of the phase; static lifetime */
 std::string_view name(RolloutPhase phase);
@@ -48,6 +50,9 @@
 /** @return the share of the requests that the new version gets */
 Share trafficShareOf(const RolloutProgress &progress);
 
+/** @return whether the old version takes requests for which the new version has no room */
+bool hasOldVersionOverflow(const RolloutProgress &progress);
+
 /** Start and deadline of a rollout on the monotonic clock. */
 struct RolloutTimes
 {
@@ -81,6 +86,11 @@
      * @return whether the phase or the share changed
      */
     bool tick(TimePoint now);
+    /**
+     * @param hasCapacity  whether the targets of the new version can carry the load of the service
+     *                     alone; while they cannot, the rollout does not leave Settling
+     */
+    void setNewVersionCapacity(bool hasCapacity) { m_hasCapacity = hasCapacity; }
     /** Rolls back by an operator's order; has no effect after the rollout has ended. */
     void rollBack();
     /** Merges the progress of the same rollout at another host; ignores other rollouts. */
@@ -106,6 +116,7 @@
     std::uint64_t m_number;
     RolloutTimes m_times;
     RolloutAnalysis m_analysis;
+    bool m_hasCapacity = true;
     std::optional<FaultEvidence> m_fault;
     TimePoint m_stepStartedAt;
 };
--- a/src/balancing/balancer_choice.cpp
+++ b/src/balancing/balancer_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 
 // Selection of a target for a request, and the decision whether the request waits.
 
@@ -269,6 +270,30 @@
     return now - front->item.arrivedAt;
 }
 
+int ServiceBalancer::slotsWithoutLargestZone(VersionRole role, TimePoint now) const
+{
+    std::map<ZoneId, int> slotsByZone;
+    int slots = 0;
+    int slotsOfLargestZone = 0;
+    for (const auto &[id, target] : m_targets) {
+        int &slotsOfZone = slotsByZone[target.registered().zone];
+        if (!isEligible(target, role) || target.isUnavailable(now) || !looksHealthy(target, now))
+            continue;
+        slots += usableSlots(target);
+        slotsOfZone += usableSlots(target);
+        slotsOfLargestZone = std::max(slotsOfLargestZone, slotsOfZone);
+    }
+    const bool isInSeveralZones = slotsByZone.size() > 1;
+    return isInSeveralZones ? slots - slotsOfLargestZone : slots;
+}
+
+bool ServiceBalancer::hasNewVersionCapacity(TimePoint now) const
+{
+    const int newSlots = slotsWithoutLargestZone(VersionRole::New, now);
+    return newSlots >= m_meanInFlight.value_or(0) ||
+           newSlots >= slotsWithoutLargestZone(VersionRole::Old, now);
+}
+
 ServiceBalancer::Spread ServiceBalancer::newVersionSpread() const
 {
     // A few requests on one target show early how a version behaves under load.
@@ -293,6 +318,12 @@
     // other way round.
     const VersionRole role = isRolledOut ? VersionRole::New : VersionRole::Old;
     Evaluation evaluated = evaluateTargets(request, role, PlacementMode::Central, now);
+    if (isRolledOut && m_hasOldVersionOverflow && evaluated.candidates.empty()) {
+        Evaluation oldVersion =
+                evaluateTargets(request, VersionRole::Old, PlacementMode::Central, now);
+        if (const auto chosen = pickFrom(oldVersion.candidates))
+            return {chosen, false, {}};
+    }
     if (!evaluated.hasEligible) {
         evaluated = evaluateTargets(request, role, PlacementMode::LastResort, now);
         const auto chosen = pickFrom(evaluated.candidates);
--- a/src/balancing/balancer_outcomes.cpp
+++ b/src/balancing/balancer_outcomes.cpp
@@ -10,6 +10,9 @@
 
 /** Age at which the baseline of the service is computed again. */
 constexpr Milliseconds maxBaselineAge{100};
+/** Weight of a sample in the smoothed number of requests in flight; one sample each maxBaselineAge.
+ */
+constexpr double inFlightWeight = 0.1;
 /** Maximum number of rollout samples that are kept until the next load report. */
 constexpr std::size_t maxRolloutSamples = 256;
 /**
@@ -88,7 +91,11 @@
         target.health().recordResponse(now, asMeanRequest(grant.requestClass, normalizedTime),
                                        failed, m_baseline);
     const auto role = m_versions.role(target.registered().version);
-    const bool isConclusive = failed || (!grant.isCold && !grant.isOverfilled);
+    // A target that has sent nothing since the request was placed may be lost, which is no fault of
+    // its version.
+    const bool isSilent =
+            report.outcome == AttemptOutcome::TimedOut && target.lastSeenAt() < grant.grantedAt;
+    const bool isConclusive = !isSilent && (failed || (!grant.isCold && !grant.isOverfilled));
     if (m_versions.running() && role && isConclusive && m_rolloutSamples.size() < maxRolloutSamples)
         m_rolloutSamples.push_back({*role, grant.route, failed, normalizedTime});
 }
@@ -125,13 +132,17 @@
         return;
     m_baselineUpdatedAt = now;
     m_meanSlowdown = meanSlowdown(now);
+    int inFlight = 0;
     std::vector<Microseconds> times;
     std::vector<Share> failedShares;
     for (const auto &[id, target] : m_targets) {
         if (target.health().meanTime().count() > 0)
             times.push_back(target.health().meanTime());
         failedShares.push_back(target.health().failedShare());
+        inFlight += target.inFlight(now, m_settings).value();
     }
+    const double meanInFlight = m_meanInFlight.value_or(inFlight);
+    m_meanInFlight = meanInFlight + (inFlight - meanInFlight) * inFlightWeight;
     if (!times.empty())
         m_baseline.medianTime = median(times);
     if (!failedShares.empty())
--- a/src/loadreports/load_aggregator.cpp
+++ b/src/loadreports/load_aggregator.cpp
@@ -80,6 +80,13 @@
     state.controller.emplace(fresh, RolloutTimes{startedAt, startedAt + order->duration});
 }
 
+void LoadAggregator::setNewVersionCapacity(const ServiceId &service, bool hasCapacity)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end() && found->second.controller)
+        found->second.controller->setNewVersionCapacity(hasCapacity);
+}
+
 void LoadAggregator::tick(TimePoint now)
 {
     for (auto &[service, state] : m_services) {
--- a/src/rollout/rollout_controller.cpp
+++ b/src/rollout/rollout_controller.cpp
@@ -31,7 +31,10 @@
 constexpr int minStepTimeDivisor = 2;
 /** Part of the time to the deadline that must pass before Done, so that late faults are seen. */
 constexpr double minCompletionRatio = 0.75;
-/** Equal parts of the time to the deadline: one for each step, for settling and as a reserve. */
+/**
+ * Equal parts of the time to the deadline: one for each step, one for settling and draining, and
+ * one as a reserve.
+ */
 constexpr int plannedParts = static_cast<int>(shareSteps.size()) + 2;
 
 struct Advance
@@ -98,6 +101,9 @@
     struct Settling : msm::front::state<>
     {
     };
+    struct Draining : msm::front::state<>
+    {
+    };
     struct Done : msm::front::state<>
     {
     };
@@ -114,16 +120,20 @@
         : boost::mpl::vector<Row<Canary, Advance, Ramping, RaiseShare, none>,
                              Row<Ramping, Advance, Ramping, RaiseShare, NextStepIsNotLast>,
                              Row<Ramping, Advance, Settling, RaiseShare, NextStepIsLast>,
-                             Row<Settling, Advance, Done, none, none>,
+                             Row<Settling, Advance, Draining, none, none>,
+                             Row<Draining, Advance, Done, none, none>,
                              Row<Canary, FaultDetected, RolledBack, RollBackOnFault, none>,
                              Row<Ramping, FaultDetected, RolledBack, RollBackOnFault, none>,
                              Row<Settling, FaultDetected, RolledBack, RollBackOnFault, none>,
+                             Row<Draining, FaultDetected, RolledBack, RollBackOnFault, none>,
                              Row<Canary, DeadlinePassed, RolledBack, RollBackOnDeadline, none>,
                              Row<Ramping, DeadlinePassed, RolledBack, RollBackOnDeadline, none>,
                              Row<Settling, DeadlinePassed, RolledBack, RollBackOnDeadline, none>,
+                             Row<Draining, DeadlinePassed, RolledBack, RollBackOnDeadline, none>,
                              Row<Canary, RollbackOrdered, RolledBack, RollBackOnOrder, none>,
                              Row<Ramping, RollbackOrdered, RolledBack, RollBackOnOrder, none>,
-                             Row<Settling, RollbackOrdered, RolledBack, RollBackOnOrder, none>>
+                             Row<Settling, RollbackOrdered, RolledBack, RollBackOnOrder, none>,
+                             Row<Draining, RollbackOrdered, RolledBack, RollBackOnOrder, none>>
     {
     };
 
@@ -148,6 +158,8 @@
         return "ramping";
     case RolloutPhase::Settling:
         return "settling";
+    case RolloutPhase::Draining:
+        return "draining";
     case RolloutPhase::Done:
         return "done";
     case RolloutPhase::RolledBack:
@@ -198,6 +210,11 @@
     return Share(shareSteps[static_cast<std::size_t>(std::clamp(progress.step, 0, lastStep))]);
 }
 
+bool hasOldVersionOverflow(const RolloutProgress &progress)
+{
+    return progress.phase == RolloutPhase::Settling;
+}
+
 struct RolloutController::Machine : msm::back::state_machine<RolloutDefinition>
 {
     /** Relies on the states having the same order in transition_table as in RolloutPhase. */
@@ -282,14 +299,19 @@
     const Duration timeInStep = now - m_stepStartedAt;
     const bool isLate = timeInStep >= plannedStepTime;
     const int minResponses = isLate ? minResponsesWhenLate : minResponsesPerStep;
-    if (timeInStep < plannedStepTime / minStepTimeDivisor ||
-        m_analysis.newVersionResponsesInStep() < minResponses)
+    if (timeInStep < plannedStepTime / minStepTimeDivisor)
         return false;
-    if (!isLate && !m_analysis.areRoutesCovered())
+    const RolloutPhase phase = m_machine->phase();
+    const bool hasEvidence = m_analysis.newVersionResponsesInStep() >= minResponses &&
+                             (isLate || m_analysis.areRoutesCovered());
+    if (phase != RolloutPhase::Draining && !hasEvidence)
         return false;
     const std::chrono::duration<double> totalTime = m_times.deadline - m_times.startedAt;
-    const bool isSettling = m_machine->phase() == RolloutPhase::Settling;
-    if (isSettling && now - m_times.startedAt < totalTime * minCompletionRatio)
+    const std::chrono::duration<double> elapsed = now - m_times.startedAt;
+    if (phase == RolloutPhase::Settling &&
+        (!m_hasCapacity || elapsed < totalTime * minCompletionRatio - plannedStepTime))
+        return false;
+    if (phase == RolloutPhase::Draining && elapsed < totalTime * minCompletionRatio)
         return false;
     m_machine->process_event(Advance{});
     m_analysis.resetStep();
--- a/tests/balancing/balancing_test.cpp
+++ b/tests/balancing/balancing_test.cpp
@@ -93,6 +93,9 @@
     CPPUNIT_TEST(largeBodiesStayInTheirZoneIfItIsFastEnough);
     CPPUNIT_TEST(newVersionsGetNoRequestsWithoutAnOrder);
     CPPUNIT_TEST(firstRequestsOfANewVersionArePacked);
+    CPPUNIT_TEST(lostTargetsAreNoEvidenceAgainstTheirVersion);
+    CPPUNIT_TEST(newVersionMustCarryTheLoadWithoutItsLargestZone);
+    CPPUNIT_TEST(oldVersionTakesWhatTheNewVersionHasNoRoomFor);
     CPPUNIT_TEST(expiredGrantsOfOtherHostsFreeTheirSlots);
     CPPUNIT_TEST(centralQueueAbsorbsABurst);
     CPPUNIT_TEST(queueDrainsAfterABurst);
@@ -449,6 +452,74 @@
         CPPUNIT_ASSERT(m_balancer.versions().role(VersionId("v1")) == VersionRole::Old);
     }
 
+    /**
+     * Load pattern: the targets of a new version stand mostly in one zone, which is evacuated after
+     * the old version has been stopped.
+     */
+    void newVersionMustCarryTheLoadWithoutItsLargestZone()
+    {
+        std::vector<RegisteredTarget> targets;
+        for (int i = 1; i <= 4; ++i)
+            targets.push_back(makeTarget(i, i % 2 == 0 ? "a" : "c"));
+        for (int i = 5; i <= 9; ++i)
+            targets.push_back(makeTarget(i, "b", "v2"));
+        m_balancer.setTargets(targets, m_now);
+        m_balancer.versions().setOrder(
+                RolloutOrder{service, VersionId("v2"), Milliseconds(16'000), Revision(5)}, m_now);
+        CPPUNIT_ASSERT(m_balancer.hasNewVersionCapacity(m_now));
+        for (std::uint64_t round = 1; round <= 50; ++round) {
+            const auto choices = place(8, round * 10);
+            m_now += Milliseconds(100);
+            const auto last = place(1, round * 10 + 9);
+            m_balancer.finish(makeReport(last.front(), AttemptOutcome::Answered), m_now);
+            for (const auto &choice : choices)
+                m_balancer.finish(makeReport(choice, AttemptOutcome::Answered), m_now);
+        }
+        CPPUNIT_ASSERT(!m_balancer.hasNewVersionCapacity(m_now));
+        for (int i = 10; i <= 12; ++i)
+            targets.push_back(makeTarget(i, "c", "v2"));
+        m_balancer.setTargets(targets, m_now);
+        CPPUNIT_ASSERT(m_balancer.hasNewVersionCapacity(m_now));
+    }
+
+    /** Load pattern: machines vanish without a word during a rollout. */
+    void lostTargetsAreNoEvidenceAgainstTheirVersion()
+    {
+        m_balancer.setTargets(std::vector{makeTarget(1, "a", "v2")}, m_now);
+        m_balancer.versions().setOrder(
+                RolloutOrder{service, VersionId("v2"), Milliseconds(16'000), Revision(5)}, m_now);
+        m_balancer.setRolloutShare(Share(1));
+        const auto timeOut = [&](const TargetChoice &choice) {
+            AttemptReport report = makeReport(choice, AttemptOutcome::TimedOut, Milliseconds(900));
+            report.load.reset();
+            m_balancer.finish(report, m_now);
+            return m_balancer.takeRolloutSamples().size();
+        };
+        const auto choices = place(2);
+        m_now += Milliseconds(900);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), timeOut(choices[0]));
+        probe(1, 1.0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), timeOut(choices[1]));
+    }
+
+    /**
+     * Load pattern: a burst while the new version of a rollout takes over with fewer targets. The
+     * old version's targets were idle, and requests were refused.
+     */
+    void oldVersionTakesWhatTheNewVersionHasNoRoomFor()
+    {
+        m_balancer.setTargets(std::vector{makeTarget(1), makeTarget(2, "a", "v2")}, m_now);
+        m_balancer.versions().setOrder(
+                RolloutOrder{service, VersionId("v2"), Milliseconds(16'000), Revision(5)}, m_now);
+        m_balancer.setRolloutShare(Share(1));
+        m_balancer.setOldVersionOverflow(true);
+        for (const auto &choice : place(3))
+            CPPUNIT_ASSERT(choice.target.version == VersionId("v2"));
+        CPPUNIT_ASSERT(place(1, 10).front().target.version == VersionId("v1"));
+        m_balancer.setOldVersionOverflow(false);
+        CPPUNIT_ASSERT(!m_balancer.place(makeRequest(20), m_now));
+    }
+
     /** A fault of a version under load shows early if its few requests run on one target. */
     void firstRequestsOfANewVersionArePacked()
     {
--- a/tests/rollout/rollout_test.cpp
+++ b/tests/rollout/rollout_test.cpp
@@ -3,6 +3,7 @@
 #include "../support.h"
 
 #include <cmath>
+#include <map>
 #include <set>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -91,6 +92,8 @@
     CPPUNIT_TEST(lateFaultIsDetected);
     CPPUNIT_TEST(faultUnderLoadIsDetected);
     CPPUNIT_TEST(lastResponsesOfTheOldVersionAreNoComparison);
+    CPPUNIT_TEST(oldVersionIsDrainedBeforeDone);
+    CPPUNIT_TEST(oldVersionStaysWhileTheNewOneLacksCapacity);
     CPPUNIT_TEST(deadlineRollsBackWithoutEvidence);
     CPPUNIT_TEST(rolledBackNeverBecomesDone);
     CPPUNIT_TEST(mergeIsIdempotentCommutativeAssociative);
@@ -166,6 +169,47 @@
         CPPUNIT_ASSERT(analysis.fault());
     }
 
+    /** The platform stops the old version at Done, with the requests that it still runs. */
+    void oldVersionIsDrainedBeforeDone()
+    {
+        const TimePoint start{Seconds(1000)};
+        RolloutController controller({1, RolloutPhase::Canary, 0, RollbackCause::None},
+                                     {start, start + deadline});
+        std::map<RolloutPhase, TimePoint> enteredAt;
+        for (TimePoint now = start; now < start + deadline; now += requestInterval) {
+            controller.tick(now);
+            enteredAt.try_emplace(controller.progress().phase, now);
+            CPPUNIT_ASSERT_EQUAL(controller.progress().phase == RolloutPhase::Settling,
+                                 hasOldVersionOverflow(controller.progress()));
+            controller.recordResponse(VersionRole::New, RouteIndex(0), false, Milliseconds(90),
+                                      now);
+        }
+        CPPUNIT_ASSERT(enteredAt.contains(RolloutPhase::Done));
+        CPPUNIT_ASSERT(enteredAt.at(RolloutPhase::Draining) > enteredAt.at(RolloutPhase::Settling));
+        CPPUNIT_ASSERT(enteredAt.at(RolloutPhase::Done) - enteredAt.at(RolloutPhase::Draining) >=
+                       deadline / 16);
+    }
+
+    void oldVersionStaysWhileTheNewOneLacksCapacity()
+    {
+        const TimePoint start{Seconds(1000)};
+        RolloutController controller({1, RolloutPhase::Canary, 0, RollbackCause::None},
+                                     {start, start + deadline});
+        controller.setNewVersionCapacity(false);
+        TimePoint now = start;
+        const auto runUntil = [&](TimePoint end) {
+            for (; now < end; now += requestInterval) {
+                controller.tick(now);
+                controller.recordResponse(VersionRole::New, RouteIndex(0), false, Milliseconds(90),
+                                          now);
+            }
+            return controller.progress().phase;
+        };
+        CPPUNIT_ASSERT(runUntil(start + deadline * 8 / 10) == RolloutPhase::Settling);
+        controller.setNewVersionCapacity(true);
+        CPPUNIT_ASSERT(runUntil(start + deadline * 9 / 10) == RolloutPhase::Done);
+    }
+
     void deadlineRollsBackWithoutEvidence()
     {
         RolloutController controller(
