rollout: capacity is checked while settling, and logged

Cause: all hosts walked the targets of a service in a rollout at each tick, 50 times a second, though only the step after Settling needs the result; and the log did not say why a rollout stayed there. Change: the check runs in Settling only; a change of its result is logged as "Rollout capacity changed".

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -353,7 +353,10 @@
         if (m_registry.removeExpiredTargets(now))
             applyRegistryChange();
         for (const auto &[service, rollout] : m_rollouts) {
-            if (const ServiceBalancer *balancer = m_placement.find(service))
+            const bool isSettling =
+                    rollout.progress && rollout.progress->phase == RolloutPhase::Settling;
+            const ServiceBalancer *balancer = isSettling ? m_placement.find(service) : nullptr;
+            if (balancer != nullptr)
                 m_aggregator.setNewVersionCapacity(service, balancer->hasNewVersionCapacity(now));
         }
         m_aggregator.tick(now);
--- a/include/endivedock/rollout/rollout_controller.h
+++ b/include/endivedock/rollout/rollout_controller.h
@@ -91,6 +91,7 @@
      *                     alone; while they cannot, the rollout does not leave Settling
      */
     void setNewVersionCapacity(bool hasCapacity) { m_hasCapacity = hasCapacity; }
+    bool hasNewVersionCapacity() const { return m_hasCapacity; }
     /** Rolls back by an operator's order; has no effect after the rollout has ended. */
     void rollBack();
     /** Merges the progress of the same rollout at another host; ignores other rollouts. */
--- a/src/balancing/balancer_outcomes.cpp
+++ b/src/balancing/balancer_outcomes.cpp
@@ -10,7 +10,9 @@
 
 /** Age at which the baseline of the service is computed again. */
 constexpr Milliseconds maxBaselineAge{100};
-/** Weight of a sample in the smoothed number of requests in flight; one sample each maxBaselineAge.
+/**
+ * Weight of a sample in the smoothed number of requests in flight, which is sampled once in
+ * maxBaselineAge.
  */
 constexpr double inFlightWeight = 0.1;
 /** Maximum number of rollout samples that are kept until the next load report. */
--- a/src/loadreports/load_aggregator.cpp
+++ b/src/loadreports/load_aggregator.cpp
@@ -83,8 +83,14 @@
 void LoadAggregator::setNewVersionCapacity(const ServiceId &service, bool hasCapacity)
 {
     const auto found = m_services.find(service);
-    if (found != m_services.end() && found->second.controller)
-        found->second.controller->setNewVersionCapacity(hasCapacity);
+    if (found == m_services.end() || !found->second.controller)
+        return;
+    RolloutController &controller = *found->second.controller;
+    if (controller.hasNewVersionCapacity() == hasCapacity)
+        return;
+    controller.setNewVersionCapacity(hasCapacity);
+    m_log.info("Rollout capacity changed",
+               {field("service", service), field("sufficient", hasCapacity)});
 }
 
 void LoadAggregator::tick(TimePoint now)
