gateway: an upload that was streamed is not sent again

Cause: runAttempts() took every attempt that had not run for replayable. That holds while nothing of the stream has been read from the caller, as after a failed connect; after the stream was passed on, only its buffered start is left. Evidence: GatewayTest::rejectedStreamedUploadsAreNotSentAgain failed before (two runs at the target, the second one shortened, and 200 for the caller). Change: the request remembers that a part of its body was read and not kept (Request::isBodyStreamed), at the only place that reads it. Such a request is refused with 503 and "not run", which is true, so the caller may send it again. A request whose stream has not begun is still sent to the next target.

--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -477,8 +477,7 @@
         failedAttempt.attempts = attemptNumber;
         failedAttempt.maxAttempts = request->plan.maxAttempts;
         failedAttempt.isIdempotent = request->plan.isIdempotent;
-        failedAttempt.isReplayable =
-                request->isBodyBuffered || runCertaintyOf(result.outcome) == RunCertainty::NotRun;
+        failedAttempt.isReplayable = !request->isBodyStreamed;
         failedAttempt.timeLeft = request->plan.deadline - SteadyClock().now();
         if (auto refusal = refusalUnlessRetryable(failedAttempt)) {
             if (lastErrorResponse)
@@ -587,6 +586,7 @@
         const std::span<char> piece =
                 request->isBodyBuffered ? std::span<char>{} : caller.scratchBuffer();
         while (!request->isBodyBuffered && !caller.isBodyComplete()) {
+            request->isBodyStreamed = true;
             const std::size_t count = co_await caller.readBody(piece);
             bytesSent += count;
             if (bytesSent > request->plan.maxBodySize.value())
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -132,6 +132,11 @@
         std::vector<char> bufferedBody;
         /** Whether bufferedBody holds the whole body. */
         bool isBodyBuffered = false;
+        /**
+         * Part of the body behind bufferedBody has been read, and is not kept; the request can then
+         * not be sent again.
+         */
+        bool isBodyStreamed = false;
         std::vector<TargetId> triedTargets;
         /** Time spent on attempts at targets so far. */
         Microseconds targetTime{0};
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -38,11 +38,15 @@
     return head;
 }
 
-/** A placement source that places every request on the same target. */
+/** A placement source that places every request on the same target, after a number of refusals. */
 struct SingleTargetSource
 {
     Task<std::variant<PlacedTarget, Refusal>> place(const PlacementRequest &, TimePoint)
     {
+        if (refusalCount > 0) {
+            --refusalCount;
+            co_return Refusal{RefusalReason::QueueFull, RunCertainty::NotRun};
+        }
         co_return PlacedTarget{{GrantId(1), TargetId("t"), true}, target, Connections(5)};
     }
     void abandon(const AttemptId &) {}
@@ -50,6 +54,27 @@
 
     Address target;
     std::vector<AttemptReport> reports;
+    int refusalCount = 0;
+};
+
+/** The project's own front end with another header timeout. */
+class LimitedFrontEnd : public NativeFrontEnd
+{
+public:
+    LimitedFrontEnd(const NewestConfiguration &configuration, Milliseconds headerTimeout)
+        : NativeFrontEnd(configuration)
+        , m_headerTimeout(headerTimeout)
+    {
+    }
+    CallerLimits limits() const
+    {
+        CallerLimits result = NativeFrontEnd::limits();
+        result.headerTimeout = m_headerTimeout;
+        return result;
+    }
+
+private:
+    Milliseconds m_headerTimeout;
 };
 
 /** A run guard that lets every request run. */
@@ -73,18 +98,33 @@
            "\r\n\r\n" + std::string(bytes, 'x');
 }
 
+/** A part of what a caller sends, and the time for which the caller waits before it. */
+struct SentText
+{
+    Milliseconds delay{0};
+    std::string text;
+};
+
 /**
- * Sends @p text and reads until the server closes or has sent @p responseCount responses, each of
- * which contains one closing brace.
+ * Sends @p texts and reads until the server closes or has sent @p responseCount responses, each of
+ * which contains one closing brace; for three seconds at most.
  */
-Task<> exchangeText(asio::any_io_executor executor, Address server, std::string text,
-                    int responseCount, std::string &response)
+Task<> exchangeTexts(asio::any_io_executor executor, Address server, std::vector<SentText> texts,
+                     int responseCount, std::string &response)
 {
     asio::ip::tcp::socket socket(executor);
     co_await socket.async_connect(tcpEndpoint(server), asio::use_awaitable);
+    asio::steady_timer timeout(executor, Seconds(3));
+    timeout.async_wait([&socket](const boost::system::error_code &waitError) {
+        if (!waitError)
+            socket.close();
+    });
     boost::system::error_code error;
-    co_await asio::async_write(socket, asio::buffer(text),
-                               asio::redirect_error(asio::use_awaitable, error));
+    for (const auto &[delay, text] : texts) {
+        co_await sleepFor(delay);
+        co_await asio::async_write(socket, asio::buffer(text),
+                                   asio::redirect_error(asio::use_awaitable, error));
+    }
     std::array<char, 4096> piece{};
     while (!error && std::count(response.begin(), response.end(), '}') < responseCount) {
         const std::size_t count = co_await socket.async_read_some(
@@ -110,6 +150,8 @@
     CPPUNIT_TEST(ambiguousRequestsAreRefused);
     CPPUNIT_TEST(pipelinedResponsesKeepTheirOrder);
     CPPUNIT_TEST(drainingHostsCompletePipelines);
+    CPPUNIT_TEST(rejectedStreamedUploadsAreNotSentAgain);
+    CPPUNIT_TEST(uploadsAreSentAgainIfNothingWasStreamed);
     CPPUNIT_TEST(connectionsToTargetsAreReused);
     CPPUNIT_TEST(targetTimeoutIsNotAFailure);
     CPPUNIT_TEST_SUITE_END();
@@ -306,6 +348,31 @@
                                closePosition > response.find("/fast") && closePosition < second);
     }
 
+    /**
+     * An upload that its target rejected was sent again with the buffered start of its body only,
+     * and the caller was told that it had succeeded.
+     */
+    void rejectedStreamedUploadsAreNotSentAgain()
+    {
+        for (const std::string &upload : {chunkedRequest(1'200'000), sizedRequest(1'200'000)}) {
+            RejectingTarget target(1);
+            const std::string response = target.exchange(*this, upload);
+            CPPUNIT_ASSERT_MESSAGE(response, response.find(" 503 ") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(response, response.find("\"not-run\"") != std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), target.bodySizes.size());
+            CPPUNIT_ASSERT(target.bodySizes.front() >= 1'200'000);
+        }
+    }
+
+    /** A body that is still buffered as a whole can be sent to the next target. */
+    void uploadsAreSentAgainIfNothingWasStreamed()
+    {
+        RejectingTarget target(1);
+        const std::string response = target.exchange(*this, sizedRequest(300'000), 1);
+        CPPUNIT_ASSERT_MESSAGE(response, response.find("200 OK") != std::string::npos);
+        CPPUNIT_ASSERT((target.bodySizes == std::vector<std::size_t>{300'000, 300'000}));
+    }
+
     void connectionsToTargetsAreReused()
     {
         const std::string request = "POST /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\n"
@@ -317,7 +384,10 @@
         int connections = 0;
         startTask(context.get_executor(), "target", serveAndCount(target, connections));
         const Address address{"127.0.0.1", target.local_endpoint().port()};
-        const std::string response = sendTexts(context, address, {request, request, last}, 100, 1);
+        const Milliseconds noDelay(0);
+        const std::string response =
+                sendTexts(context, address,
+                          {{{noDelay, request}}, {{noDelay, request}}, {{noDelay, last}}}, 100, 1);
         CPPUNIT_ASSERT_MESSAGE(response, response.find("{3}") != std::string::npos);
         CPPUNIT_ASSERT_EQUAL(1, connections);
     }
@@ -330,6 +400,105 @@
     }
 
 private:
+    /**
+     * A target that rejects the first requests as not run and then responds with the number of
+     * bytes that it has received as the body, framing included.
+     */
+    struct RejectingTarget
+    {
+        explicit RejectingTarget(int rejections)
+            : rejectionCount(rejections)
+            , acceptor(context, tcpEndpoint(anyLoopbackAddress))
+        {
+            startTask(context.get_executor(), "target", accept());
+        }
+
+        /** @return what a caller receives for @p text over a gateway in front of this target */
+        std::string exchange(GatewayTest &test, const std::string &text, int responseCount = 2)
+        {
+            const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+            return test.sendTexts(context, address, {{{Milliseconds(0), text}}}, 4'000'000,
+                                  responseCount);
+        }
+
+        Task<> accept()
+        {
+            while (true)
+                startTask(context.get_executor(), "connection",
+                          serve(co_await acceptor.async_accept(asio::use_awaitable)));
+        }
+
+        Task<> serve(asio::ip::tcp::socket socket)
+        {
+            std::string received;
+            std::vector<char> piece(64 * 1024);
+            boost::system::error_code error;
+            while (!error) {
+                const std::size_t count = co_await socket.async_read_some(
+                        asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+                received.append(piece.data(), count);
+                const std::size_t headEnd = received.find("\r\n\r\n");
+                if (headEnd == std::string::npos)
+                    continue;
+                const std::size_t bodySize = received.size() - headEnd - 4;
+                const std::size_t lengthAt = received.find("Content-Length: ");
+                const bool isComplete =
+                        lengthAt < headEnd ? bodySize >= std::stoul(received.substr(lengthAt + 16))
+                                           : received.ends_with("\r\n0\r\n\r\n");
+                if (!isComplete && !respondsEarly)
+                    continue;
+                bodySizes.push_back(bodySize);
+                received.clear();
+                const bool isRejected = rejectionCount-- > 0;
+                const std::string head = isRejected
+                                                 ? "HTTP/1.1 503 Service Unavailable\r\n" +
+                                                           std::string(notRunField) + ": true\r\n"
+                                                 : std::string("HTTP/1.1 200 OK\r\n");
+                co_await asio::async_write(socket,
+                                           asio::buffer(head + "Content-Length: 2\r\n\r\n{}"),
+                                           asio::redirect_error(asio::use_awaitable, error));
+                if (respondsEarly)
+                    co_return;
+            }
+        }
+
+        asio::io_context context;
+        int rejectionCount = 0;
+        bool respondsEarly = false;
+        std::vector<std::size_t> bodySizes;
+        asio::ip::tcp::acceptor acceptor;
+    };
+
+    static int countOf(const std::string &text, const std::string &part)
+    {
+        int count = 0;
+        for (std::size_t at = text.find(part); at != std::string::npos;
+             at = text.find(part, at + 1))
+            ++count;
+        return count;
+    }
+
+    /** An upload whose content is a sequence of requests; longer than what the gateway buffers. */
+    static std::string uploadOfRequests(bool isChunked)
+    {
+        constexpr std::size_t recordSize = 64;
+        std::string content;
+        while (content.size() < 2'000'000) {
+            std::string record = "GET /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\nPad: ";
+            record.resize(recordSize - 4, '-');
+            content += record + "\r\n\r\n";
+        }
+        const std::string head = "PUT /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\n";
+        if (!isChunked)
+            return head + "Content-Length: " + std::to_string(content.size()) + "\r\n\r\n" +
+                   content;
+        std::string result = head + "Transfer-Encoding: chunked\r\n\r\n";
+        constexpr std::size_t chunkSize = 0x10000;
+        for (std::size_t start = 0; start + chunkSize <= content.size(); start += chunkSize)
+            result += "10000\r\n" + content.substr(start, chunkSize) + "\r\n";
+        return result + "0\r\n\r\n";
+    }
+
     /** Counts the connections, and responds to each request with its number on the connection. */
     static Task<> serveAndCount(asio::ip::tcp::acceptor &acceptor, int &connections)
     {
@@ -359,27 +528,39 @@
 
     /** @return what a caller receives for @p text if bodies may have up to @p maxBodySize bytes */
     std::string sendThroughGateway(std::string text, int maxBodySize, int responseCount = 1)
+    {
+        return sendThroughGateway({{Milliseconds(0), std::move(text)}}, maxBodySize, responseCount);
+    }
+
+    std::string sendThroughGateway(std::vector<SentText> texts, int maxBodySize,
+                                   int responseCount = 1)
     {
         asio::io_context context;
         std::size_t concurrent = 0;
         HttpServer target(
                 context.get_executor(), anyLoopbackAddress,
                 [&concurrent, this](HttpServerRequest request) -> Task<HttpServerResponse> {
+                    ++m_runCount;
                     m_maxConcurrent = std::max(m_maxConcurrent, ++concurrent);
                     if (request.path.find("slow") != std::string::npos)
-                        co_await sleepFor(Milliseconds(60));
+                        co_await sleepFor(m_slowTime);
                     --concurrent;
                     co_return HttpServerResponse{200, "text/plain",
                                                  request.path + "{" +
                                                          std::to_string(request.body.size()) + "}"};
                 });
-        return sendTexts(context, target.localAddress(), {std::move(text)}, maxBodySize,
+        return sendTexts(context, target.localAddress(), {std::move(texts)}, maxBodySize,
                          responseCount);
     }
 
-    /** Sends each text on a connection of its own. @return what was received for the last text */
+    /**
+     * Opens one connection after the other, with the texts of one element each.
+     *
+     * @return what was received on the last connection
+     */
     std::string sendTexts(asio::io_context &context, const Address &target,
-                          const std::vector<std::string> &texts, int maxBodySize, int responseCount)
+                          const std::vector<std::vector<SentText>> &connections, int maxBodySize,
+                          int responseCount)
     {
         configureLog(LogLevel::Error);
         NewestConfiguration configuration;
@@ -391,19 +572,33 @@
                    R"({"tenant":"bergvik","zones":["a"],"services":[{"service":"quotes","template":"t"}]})"}}});
         Metrics metrics;
         Random random(1);
-        SingleTargetSource placements{target, {}};
+        SingleTargetSource placements{target, {}, m_refusalCount};
         UnrestrictedRunGuard runGuard;
-        GatewayServer<NativeFrontEnd, SingleTargetSource, UnrestrictedRunGuard> gateway(
+        GatewayServer<LimitedFrontEnd, SingleTargetSource, UnrestrictedRunGuard> gateway(
                 context.get_executor(), anyLoopbackAddress, {HostId(1), metrics, random},
-                NativeFrontEnd(configuration), placements, runGuard);
+                LimitedFrontEnd(configuration, m_headerTimeout), placements, runGuard);
         if (m_isDraining)
             gateway.disableKeepAlive();
+        asio::steady_timer stopTimer(context);
+        if (m_stopsAcceptingAfter) {
+            stopTimer.expires_after(*m_stopsAcceptingAfter);
+            stopTimer.async_wait([&gateway](const boost::system::error_code &error) {
+                if (!error)
+                    gateway.stopAccepting();
+            });
+        }
         std::string response;
-        for (const auto &text : texts) {
+        for (const auto &texts : connections) {
             response.clear();
-            runTask(context, exchangeText(context.get_executor(), gateway.localAddress(), text,
-                                          responseCount, response));
+            runTask(context, exchangeTexts(context.get_executor(), gateway.localAddress(), texts,
+                                           responseCount, response));
         }
+        // The tasks of open connections refer to the gateway, so they have to end before it does.
+        context.restart();
+        const TimePoint endBy = SteadyClock().now() + Seconds(1);
+        while (gateway.activity().openConnectionCount > 0 && SteadyClock().now() < endBy)
+            context.run_one_until(endBy);
+        context.run_for(Milliseconds(20));
         return response;
     }
 
@@ -426,6 +621,14 @@
     std::size_t m_maxConcurrent = 0;
     /** The gateway under test is draining. */
     bool m_isDraining = false;
+    /** Time after which the gateway under test stops to accept connections. */
+    std::optional<Milliseconds> m_stopsAcceptingAfter;
+    /** Number of requests that the placement source refuses first. */
+    int m_refusalCount = 0;
+    Milliseconds m_headerTimeout{10'000};
+    Milliseconds m_slowTime{60};
+    /** Number of requests that the target has run. */
+    int m_runCount = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
