gateway: reading ends only after the responses that are due

Cause: once a host has stopped accepting, the request that it reads next is the last one of its connection. When one more head arrived behind it, readRequests() returned, and the end of the reading task closes the connection and cancels every request on it, running or not. Evidence: GatewayTest::stoppingHostsAnswerRunningRequests failed before with no response at all. On the same path, a head that stalls behind a running request ended that request at the header timeout: GatewayTest::partialHeadDoesNotEndRunningRequests failed before in the same way. Change: after the last request the reading task discards what still arrives until the responses that are due have been sent and the caller has closed its side, or 2 s without data have passed (30 s at most, as for a long body). It still notices a caller that leaves. finishRequest() is the only place that ends the responses of a connection, so a streamed response with "Connection: close" ends at once as well, instead of after up to 60 s. The header timeout is as long as the idle timeout while a response is due.

--- a/include/endivedock/gateway/caller_connection.h
+++ b/include/endivedock/gateway/caller_connection.h
@@ -59,7 +59,7 @@
 
     /**
      * @return the header of the next request; nothing if the caller closed the connection or was
-     *         idle for longer than the idle timeout of @p limits
+     *         idle for longer than the idle timeout of @p limits, or after cancelRead()
      * @throws CallerRequestError if the header is malformed or too large; the request must then be
      *         refused and the connection closed
      * @throws CallerError if the connection failed
@@ -77,6 +77,19 @@
     /** @return whether the body of the last request has been read to its end */
     bool isBodyComplete() const;
 
+    /**
+     * Reads and discards one piece of what the caller sends.
+     *
+     * @return false if the caller closed the connection, or sent nothing within @p timeout, which
+     *         closes it as well; true after cancelRead()
+     */
+    Task<bool> discardInput(Milliseconds timeout);
+    /**
+     * Ends a pending readHead(), which then returns nothing, or a pending discardInput(). No other
+     * task may be reading a body or writing.
+     */
+    void cancelRead();
+
     /** @return memory for one piece of a body; valid for the lifetime of the connection */
     std::span<char> scratchBuffer();
 
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -20,8 +20,15 @@
 constexpr std::size_t maxInlineBodyBytes = 8 * 1024;
 /** Largest number of requests of one connection that run at the same time. */
 constexpr std::size_t maxPipelinedRequests = 16;
-/** After a response that closes the connection, the caller has this time to close its side. */
+/**
+ * After the last response on a connection, what the caller still sends is discarded until the
+ * caller closes its side or sends nothing for this long. A connection that is closed with unread
+ * data is reset, and the reset can take the response away from the caller.
+ */
 constexpr Seconds lingerTimeout{2};
+/** Longest time for which data is discarded; a caller that sends a long body needs more than one
+ * read. */
+constexpr Seconds maxLingerTime{30};
 /** Shortest idle timeout of a caller connection on which a response is due. */
 constexpr Milliseconds minResponseWaitTimeout{60'000};
 /** Delay before the next connection is accepted after a failure to accept. */
@@ -105,7 +112,16 @@
     if (session.isReading || !session.pendingRequests.empty())
         return;
     session.isClosing = true;
+    endResponses(session);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::endResponses(Session &session)
+{
     session.caller.shutdownSend();
+    // The reading task waits for the next request with a long timeout.
+    if (!session.isReading)
+        session.caller.cancelRead();
 }
 
 template <FrontEnd F, PlacementSource P, RunGuard R>
@@ -158,28 +174,33 @@
 template <FrontEnd F, PlacementSource P, RunGuard R>
 Task<> GatewayServer<F, P, R>::readRequests(SessionPtr session)
 {
-    while (true) {
+    while (!session->isClosing) {
         std::optional<Refusal> requestRefusal;
         try {
             CallerLimits limits = m_frontEnd.limits();
-            if (session->isClosing)
-                limits.idleTimeout = gateway_detail::lingerTimeout;
-            // While a response is due, the connection is idle because the caller waits for it.
-            if (!session->pendingRequests.empty())
+            // While a response is due, the connection is idle because the caller waits for it, and
+            // a timeout would end the running request as well.
+            if (!session->pendingRequests.empty()) {
                 limits.idleTimeout =
                         std::max(limits.idleTimeout, gateway_detail::minResponseWaitTimeout);
+                limits.headerTimeout =
+                        std::max(limits.headerTimeout, gateway_detail::minResponseWaitTimeout);
+            }
             std::optional<RequestHead> head = co_await session->caller.readHead(limits);
+            if (session->isClosing)
+                break; // Counts as unread, because an earlier response announces the close.
             if (!head) {
                 // The caller closed the connection, or exceeded the idle timeout, which ends the
                 // session also while a response is due.
                 co_return;
             }
-            if (session->isClosing)
-                co_return; // Counts as unread, because the previous response announced the close.
             session->isReading = true;
             co_await readRequest(session, std::move(*head));
             session->isReading = false;
+            if (m_isStopping)
+                closeIfIdle(*session);
         } catch (const CallerRequestError &error) {
+            session->isReading = false;
             requestRefusal = error.refusal();
         }
         if (!requestRefusal)
@@ -192,10 +213,26 @@
         session->pendingRequests[request->sequenceNumber] = request;
         co_await sendRefusal(session, request, *requestRefusal);
         finishRequest(*session, *request);
-        // Waits for the caller to close its side after the refusal.
-        co_await session->caller.readHead(
-                {Bytes(1024), gateway_detail::lingerTimeout, gateway_detail::lingerTimeout});
-        co_return;
+    }
+    co_await awaitCallerClose(session);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+Task<> GatewayServer<F, P, R>::awaitCallerClose(SessionPtr session)
+{
+    std::optional<TimePoint> closeBy;
+    bool isOpen = true;
+    while (isOpen) {
+        Duration timeout = gateway_detail::minResponseWaitTimeout;
+        if (session->pendingRequests.empty()) {
+            const TimePoint now = SteadyClock().now();
+            if (!closeBy)
+                closeBy = now + gateway_detail::maxLingerTime;
+            timeout = std::min<Duration>(gateway_detail::lingerTimeout, *closeBy - now);
+        }
+        if (timeout <= Duration::zero())
+            co_return;
+        isOpen = co_await session->caller.discardInput(toMilliseconds(timeout));
     }
 }
 
@@ -274,6 +311,8 @@
     session.responsesSent = std::max(session.responsesSent, request.sequenceNumber + 1);
     if (m_isStopping)
         closeIfIdle(session);
+    if (session.isClosing && session.pendingRequests.empty())
+        endResponses(session);
     notifyStateChange(session);
 }
 
@@ -330,22 +369,21 @@
     }
     if (auto *response = std::get_if<Response>(&result)) {
         co_await awaitResponseTurn(session, request->sequenceNumber);
-        if (shouldCloseAfterResponse(*session))
-            request->responseOptions.keepAlive = false;
-        session->isClosing = session->isClosing || !request->responseOptions.keepAlive;
+        decideKeepAlive(*session, *request);
         co_await session->caller.sendResponse(response->head, response->body,
                                               request->responseOptions);
-        if (!request->responseOptions.keepAlive)
-            session->caller.shutdownSend();
     }
     recordResponseMetrics(*request);
 }
 
 template <FrontEnd F, PlacementSource P, RunGuard R>
-bool GatewayServer<F, P, R>::shouldCloseAfterResponse(const Session &session) const
+void GatewayServer<F, P, R>::decideKeepAlive(Session &session, Request &request)
 {
     // Pipelined requests that are already running still need the connection for their responses.
-    return m_isKeepAliveDisabled && session.pendingRequests.size() <= 1;
+    const bool isLastOfDrain = m_isKeepAliveDisabled && session.pendingRequests.size() <= 1;
+    if (isLastOfDrain)
+        request.responseOptions.keepAlive = false;
+    session.isClosing = session.isClosing || !request.responseOptions.keepAlive;
 }
 
 template <FrontEnd F, PlacementSource P, RunGuard R>
@@ -663,6 +701,7 @@
 {
     CallerConnection &caller = session->caller;
     co_await awaitResponseTurn(session, request->sequenceNumber);
+    decideKeepAlive(*session, *request);
     request->responseOptions.sendBy = request->plan.deadline;
     try {
         std::vector<char> piece = std::move(start);
@@ -709,12 +748,8 @@
                 field("attempts", request->triedTargets.size()),
                 field("config", request->plan.configuration)});
     co_await awaitResponseTurn(session, request->sequenceNumber);
-    if (shouldCloseAfterResponse(*session))
-        request->responseOptions.keepAlive = false;
-    session->isClosing = session->isClosing || !request->responseOptions.keepAlive;
+    decideKeepAlive(*session, *request);
     co_await session->caller.sendResponse(response.head, response.body, request->responseOptions);
-    if (!request->responseOptions.keepAlive)
-        session->caller.shutdownSend();
 }
 
 } // namespace endivedock
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -197,6 +197,11 @@
     Task<> serve(SessionPtr session);
     Task<> readRequests(SessionPtr session);
     Task<> readRequest(SessionPtr session, RequestHead head);
+    /**
+     * Discards what the caller sends until it closes the connection, or, after the last response,
+     * until its time to do so has passed.
+     */
+    Task<> awaitCallerClose(SessionPtr session);
     Task<> handleRequest(SessionPtr session, RequestPtr request);
     Task<> sendResult(SessionPtr session, RequestPtr request, RequestResult result);
     Task<> awaitResponseTurn(SessionPtr session, std::uint64_t sequenceNumber);
@@ -204,6 +209,8 @@
     void handleCallerDisconnect(Session &session);
     void notifyStateChange(Session &session);
     void closeIfIdle(Session &session);
+    /** Tells the caller that no further response follows, and awaitCallerClose() to begin. */
+    void endResponses(Session &session);
     Task<RequestResult> runWithClaim(SessionPtr session, RequestPtr request);
     Task<RequestResult> runAttempts(SessionPtr session, RequestPtr request);
     Task<AttemptResult> runAttempt(SessionPtr session, RequestPtr request, PlacedTarget target,
@@ -219,8 +226,8 @@
     Task<> sendRefusal(SessionPtr session, RequestPtr request, Refusal refusal);
     PlacementRequest makePlacementRequest(const Request &request, int attemptNumber) const;
     RequestHead makeTargetRequestHead(const Request &request, const TargetId &target) const;
-    /** @return whether the due response must close its connection because the host is draining */
-    bool shouldCloseAfterResponse(const Session &session) const;
+    /** Decides whether the connection closes after the response that is due to @p request. */
+    void decideKeepAlive(Session &session, Request &request);
     void recordResponseMetrics(const Request &request);
 
     asio::any_io_executor m_executor;
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -102,6 +102,8 @@
         if (error.category() == http::make_error_code(http::error::bad_method).category() &&
             error != http::error::end_of_stream && error != http::error::partial_message)
             throw CallerRequestError(RefusalReason::BadRequest);
+        if (error == asio::error::operation_aborted)
+            co_return std::nullopt;
         if (error)
             throw CallerError(error.message());
         rejectAmbiguousFraming(m_parser->get().base());
@@ -149,6 +151,19 @@
 
     bool isBodyComplete() const { return m_parser && m_parser->is_done(); }
 
+    Task<bool> discardInput(Milliseconds timeout)
+    {
+        m_buffer.clear();
+        const std::span<char> piece = scratchBuffer();
+        boost::system::error_code error;
+        m_stream.expires_after(timeout);
+        co_await m_stream.async_read_some(asio::buffer(piece.data(), piece.size()),
+                                          asio::redirect_error(asio::use_awaitable, error));
+        co_return !error || error == asio::error::operation_aborted;
+    }
+
+    void cancelRead() { m_stream.cancel(); }
+
     void startResponse(const ResponseHead &head, const ResponseOptions &options)
     {
         const bool isHttp11 = options.minorVersion >= 1;
@@ -282,6 +297,16 @@
     return m_impl->isBodyComplete();
 }
 
+Task<bool> CallerConnection::discardInput(Milliseconds timeout)
+{
+    return m_impl->discardInput(timeout);
+}
+
+void CallerConnection::cancelRead()
+{
+    m_impl->cancelRead();
+}
+
 std::span<char> CallerConnection::scratchBuffer()
 {
     return m_impl->scratchBuffer();
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -150,6 +150,8 @@
     CPPUNIT_TEST(ambiguousRequestsAreRefused);
     CPPUNIT_TEST(pipelinedResponsesKeepTheirOrder);
     CPPUNIT_TEST(drainingHostsCompletePipelines);
+    CPPUNIT_TEST(stoppingHostsAnswerRunningRequests);
+    CPPUNIT_TEST(partialHeadDoesNotEndRunningRequests);
     CPPUNIT_TEST(rejectedStreamedUploadsAreNotSentAgain);
     CPPUNIT_TEST(uploadsAreSentAgainIfNothingWasStreamed);
     CPPUNIT_TEST(connectionsToTargetsAreReused);
@@ -348,6 +350,36 @@
                                closePosition > response.find("/fast") && closePosition < second);
     }
 
+    /**
+     * When the next pipelined request arrived at a stopping host, the host closed the connection
+     * and cancelled the requests that targets were running.
+     */
+    void stoppingHostsAnswerRunningRequests()
+    {
+        const std::string slow = "GET /bergvik/quotes/slow HTTP/1.1\r\nHost: h\r\n\r\n";
+        m_stopsAcceptingAfter = Milliseconds(10);
+        // The first request runs when the host stops, the second one is the last that it reads.
+        const std::string response = sendThroughGateway(
+                {{Milliseconds(0), slow}, {Milliseconds(20), slow}, {Milliseconds(10), slow}}, 100,
+                3);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 2, countOf(response, "200 OK"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 1, countOf(response, "Connection: close"));
+        CPPUNIT_ASSERT_EQUAL(2, m_runCount);
+    }
+
+    /** A caller that stalled in the middle of a header lost the responses to its earlier requests.
+     */
+    void partialHeadDoesNotEndRunningRequests()
+    {
+        m_slowTime = Milliseconds(400);
+        m_headerTimeout = Milliseconds(50);
+        const std::string slow = "GET /bergvik/quotes/slow HTTP/1.1\r\nHost: h\r\n\r\n";
+        const std::string response = sendThroughGateway(
+                {{Milliseconds(0), slow}, {Milliseconds(0), "GET /bergvik/quotes/fast HTTP/1.1"}},
+                100);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 1, countOf(response, "200 OK"));
+    }
+
     /**
      * An upload that its target rejected was sent again with the buffered start of its body only,
      * and the caller was told that it had succeeded.
