gateway: the unread rest of a body is never parsed as requests

Cause: only a refusal by the plan closed the connection. A refusal for want of room, a failed attempt, a timeout and a response that a target gives early left it open in the middle of the body. Evidence: GatewayTest::bodyOfRefusedUploadIsNotParsedAsRequests (9 requests run before, none now), bodyIsNotParsedAsRequestsAfterEarlyResponse (a second response before) and callersReadTheRefusalOfAnUpload (the refusal was lost to the reset of the connection) failed before. Change: decideKeepAlive() decides for every response, refusals and streamed responses included, whether the connection closes, and it does if the body has an unread rest. The rest is discarded, so that a caller that sends its whole body first still reads the refusal.

--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -266,11 +266,6 @@
     session->isClosing = session->isClosing || !request->responseOptions.keepAlive || m_isStopping;
     session->pendingRequests[request->sequenceNumber] = request;
     if (const auto *refusal = std::get_if<Refusal>(&planned)) {
-        if (!request->isBodyBuffered) {
-            // The unread rest of the body would be parsed as the next request.
-            request->responseOptions.keepAlive = false;
-            session->isClosing = true;
-        }
         co_await sendRefusal(session, request, *refusal);
         finishRequest(*session, *request);
         co_return;
@@ -379,9 +374,11 @@
 template <FrontEnd F, PlacementSource P, RunGuard R>
 void GatewayServer<F, P, R>::decideKeepAlive(Session &session, Request &request)
 {
+    // The unread rest of the body would be parsed as the next request.
+    const bool hasUnreadBody = !request.isBodyBuffered && !session.caller.isBodyComplete();
     // Pipelined requests that are already running still need the connection for their responses.
     const bool isLastOfDrain = m_isKeepAliveDisabled && session.pendingRequests.size() <= 1;
-    if (isLastOfDrain)
+    if (hasUnreadBody || isLastOfDrain)
         request.responseOptions.keepAlive = false;
     session.isClosing = session.isClosing || !request.responseOptions.keepAlive;
 }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -154,6 +154,9 @@
     CPPUNIT_TEST(partialHeadDoesNotEndRunningRequests);
     CPPUNIT_TEST(rejectedStreamedUploadsAreNotSentAgain);
     CPPUNIT_TEST(uploadsAreSentAgainIfNothingWasStreamed);
+    CPPUNIT_TEST(bodyOfRefusedUploadIsNotParsedAsRequests);
+    CPPUNIT_TEST(bodyIsNotParsedAsRequestsAfterEarlyResponse);
+    CPPUNIT_TEST(callersReadTheRefusalOfAnUpload);
     CPPUNIT_TEST(connectionsToTargetsAreReused);
     CPPUNIT_TEST(targetTimeoutIsNotAFailure);
     CPPUNIT_TEST_SUITE_END();
@@ -405,6 +408,46 @@
         CPPUNIT_ASSERT((target.bodySizes == std::vector<std::size_t>{300'000, 300'000}));
     }
 
+    /** The rest of a refused upload was parsed as requests, which targets ran. */
+    void bodyOfRefusedUploadIsNotParsedAsRequests()
+    {
+        for (const bool isChunked : {false, true}) {
+            m_refusalCount = 1;
+            const std::string response = sendThroughGateway(
+                    {{Milliseconds(0), uploadOfRequests(isChunked)}}, 4'000'000, 2);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 0, m_runCount);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 1, countOf(response, "HTTP/1.1"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 1,
+                                         countOf(response, R"("reason":"queue-full")"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 1, countOf(response, "Connection: close"));
+        }
+    }
+
+    /** The same, for a target that responds and closes before it has read the body. */
+    void bodyIsNotParsedAsRequestsAfterEarlyResponse()
+    {
+        RejectingTarget target(0);
+        target.respondsEarly = true;
+        const std::string response = target.exchange(*this, uploadOfRequests(false));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 1, countOf(response, "HTTP/1.1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), target.bodySizes.size());
+    }
+
+    /**
+     * Closing a connection with unread data resets it, which can take a refusal away from a caller
+     * that is still sending.
+     */
+    void callersReadTheRefusalOfAnUpload()
+    {
+        m_refusalCount = 1;
+        const std::string upload = sizedRequest(3'000'000);
+        std::vector<SentText> texts;
+        for (std::size_t start = 0; start < upload.size(); start += 600'000)
+            texts.push_back({Milliseconds(20), upload.substr(start, 600'000)});
+        const std::string response = sendThroughGateway(texts, 4'000'000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 1, countOf(response, R"("reason":"queue-full")"));
+    }
+
     void connectionsToTargetsAreReused()
     {
         const std::string request = "POST /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\n"
