edge: a registry delta lists the latest change of each key

Cause: Registry::m_removals recorded removals by revision, not by key. A delta listed the entries and then every removal since the other host's revision, also those of keys that had been set again, and removeEntry() did not compare the removal's revision with that of the entry. Two removals with one revision overwrote each other.

--- a/include/endivedock/edge/registry.h
+++ b/include/endivedock/edge/registry.h
@@ -118,6 +118,8 @@
 
     /** Expired targets are kept for this long after the store became reachable again. */
     static constexpr Milliseconds expiredTargetRetention{2100};
+    /** Number of removals that are recorded: those of about two releases of 900 targets. */
+    static constexpr std::size_t maxRemovals = 2000;
 
 private:
     struct Item
@@ -139,8 +141,11 @@
     std::map<std::string, Item> m_items;
     std::shared_ptr<const RoutingTable> m_table;
     Revision m_revision;
-    /** Recently removed keys by the revision of their removal, for hosts that request changes. */
-    std::map<Revision, std::string> m_removals;
+    /**
+     * The revision of the latest removal of recently removed keys, for hosts that request changes.
+     * A key that was set again is not contained.
+     */
+    std::map<std::string, Revision> m_removals;
     /** All removals after this revision are in m_removals. */
     Revision m_removalsCompleteSince;
     TimePoint m_storeReconnectedAt{};
--- a/src/edge/registry.cpp
+++ b/src/edge/registry.cpp
@@ -41,13 +41,16 @@
         }
     }
     m_items[entry.key] = {entry, std::move(record), std::nullopt};
+    m_removals.erase(entry.key);
 }
 
 void Registry::removeEntry(const std::string &key, Revision at, TimePoint now)
 {
-    m_removals[at] = key;
-    trimRemovals();
     const auto found = m_items.find(key);
+    if (found != m_items.end() && found->second.entry.modRevision > at)
+        return; // The key was set again after this removal.
+    m_removals[key] = at;
+    trimRemovals();
     if (found == m_items.end())
         return;
     const auto *target = std::get_if<RegisteredTarget>(&found->second.record);
@@ -175,10 +178,12 @@
 
 void Registry::trimRemovals()
 {
-    constexpr std::size_t maxRemovals = 2000;
     while (m_removals.size() > maxRemovals) {
-        m_removalsCompleteSince = m_removals.begin()->first;
-        m_removals.erase(m_removals.begin());
+        const auto oldest = std::min_element(
+                m_removals.begin(), m_removals.end(),
+                [](const auto &left, const auto &right) { return left.second < right.second; });
+        m_removalsCompleteSince = oldest->second;
+        m_removals.erase(oldest);
     }
 }
 
@@ -218,9 +223,10 @@
         if (!item.retainedUntil && (!isIncremental || item.entry.modRevision > knownRevision))
             delta.entries.push_back({key, item.entry.value, item.entry.modRevision});
     }
-    for (auto removed = m_removals.upper_bound(knownRevision);
-         isIncremental && removed != m_removals.end(); ++removed)
-        delta.entries.push_back({removed->second, std::nullopt, removed->first});
+    for (const auto &[key, removedAt] : m_removals) {
+        if (isIncremental && removedAt > knownRevision)
+            delta.entries.push_back({key, std::nullopt, removedAt});
+    }
     if (now - m_storeReconnectedAt < expiredTargetRetention)
         delta.sinceStoreReconnect = toMilliseconds(now - m_storeReconnectedAt);
     return delta;
