edge: a caller that leaves while its request is placed frees its slot

Callers saw: nothing at once, but a slot of a target that stayed taken until the placing host restarted, so less and less room, and later refusals for want of it. Cause: a waiting request of the placing host itself is woken by an answer. If the caller leaves between the answer and the waking, place() returns a refusal and drops the placement. cancel() releases only grants to other hosts, and only those expire. Evidence: EdgeTest::callerThatLeavesWhileItIsPlacedFreesItsSlot failed before. Change: place() reports such a placement as abandoned, as the gateway does for a caller that leaves after it.

--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -106,8 +106,11 @@
     } else {
         answer = co_await requestPlacement(request, pending, deadline);
     }
-    if (pending.isAbandoned)
+    if (pending.isAbandoned) {
+        if (placingHost == m_self && answer)
+            releaseUnused(request, *answer);
         co_return Refusal{RefusalReason::DeadlineExceeded, RunCertainty::NotRun};
+    }
     request.remaining = toMilliseconds(deadline - SteadyClock().now());
     if (answer)
         co_return applyAnswer(request, placingHost, *answer);
@@ -211,6 +214,21 @@
     return target;
 }
 
+template <PlacementPeers Peers>
+void SharedPlacement<Peers>::releaseUnused(const PlacementRequest &request,
+                                           const PlacementAnswer &answer)
+{
+    const auto *placement = std::get_if<Placement>(&answer.outcome);
+    if (placement == nullptr)
+        return;
+    AttemptReport unused;
+    unused.attempt = request.attempt;
+    unused.service = request.service;
+    unused.grant = placement->grant;
+    unused.target = placement->target;
+    report(std::move(unused));
+}
+
 template <PlacementPeers Peers>
 void SharedPlacement<Peers>::abandon(const AttemptId &attempt)
 {
--- a/include/endivedock/edge/shared_placement.h
+++ b/include/endivedock/edge/shared_placement.h
@@ -124,6 +124,11 @@
     void logCrashEvents(HostId source);
     void logRefusal(const PlacementRequest &request, const ServiceBalancer::Outcome &outcome);
     void deliver(const PlacementDecision &decision);
+    /**
+     * Releases a placement by this host that reached its request only after the caller had left.
+     * Placements by other hosts are canceled with a message.
+     */
+    void releaseUnused(const PlacementRequest &request, const PlacementAnswer &answer);
     void dispatch(ServiceBalancer &balancer, TimePoint now);
 
     asio::any_io_executor m_executor;
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(messagesRoundTripThroughCodec);
     CPPUNIT_TEST(fallsBackWhenPlacingHostDoesNotAnswer);
     CPPUNIT_TEST(lateGrantsAreCanceled);
+    CPPUNIT_TEST(callerThatLeavesWhileItIsPlacedFreesItsSlot);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -371,6 +372,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.peers.cancels.size());
     }
 
+    /**
+     * A caller left between the choice of a target for its waiting request and the waking of the
+     * request's task. The slot stayed taken for good.
+     */
+    void callerThatLeavesWhileItIsPlacedFreesItsSlot()
+    {
+        PlacementFixture fixture;
+        const auto first = fixture.place(1);
+        CPPUNIT_ASSERT(std::holds_alternative<PlacedTarget>(first));
+        std::variant<PlacedTarget, Refusal> second;
+        startTask(fixture.context.get_executor(), "second", fixture.placeInto(2, second));
+        fixture.context.restart();
+        fixture.context.run_for(Milliseconds(5));
+        fixture.placement.report(fixture.makeReport(1, std::get<PlacedTarget>(first)));
+        fixture.placement.abandon({HostId(1), RequestId(2), 1});
+        fixture.context.run_for(Milliseconds(5));
+        CPPUNIT_ASSERT(std::holds_alternative<Refusal>(second));
+        CPPUNIT_ASSERT(std::holds_alternative<PlacedTarget>(fixture.place(3)));
+    }
+
     void lateGrantsAreCanceled()
     {
         PlacementFixture fixture;
@@ -535,6 +556,18 @@
             return result;
         }
 
+        AttemptReport makeReport(std::uint64_t number, const PlacedTarget &placed) const
+        {
+            AttemptReport report;
+            report.attempt = {HostId(1), RequestId(number), 1};
+            report.service = ServiceId("quotes");
+            report.grant = placed.placement.grant;
+            report.target = placed.placement.target;
+            report.outcome = AttemptOutcome::Answered;
+            report.time = Milliseconds(20);
+            return report;
+        }
+
         Task<> placeInto(std::uint64_t number, std::variant<PlacedTarget, Refusal> &result)
         {
             PlacementRequest request;
