platform: a malformed item of the store is a protocol error

Operators would have seen: a host that never reads the store again after one malformed response, with the log line "Task ended with an exception", while it goes on announcing that it reads. Cause: parseEvent() and the loops over items used accessors of the JSON library, whose exceptions are no Errors of ours. runStoreReader() catches Error, so the task ended. Evidence: PlatformTest::malformedItemsAreProtocolErrors ended with "not an object" before.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(storeWatchReportsCompactedRevision);
     CPPUNIT_TEST(storeSwapsConditionally);
     CPPUNIT_TEST(storeErrorsAreReported);
+    CPPUNIT_TEST(malformedItemsAreProtocolErrors);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -415,6 +416,44 @@
         CPPUNIT_ASSERT_EQUAL(2, malformed);
     }
 
+    /**
+     * An item that was no object, or a removal without a key, raised an exception of the JSON
+     * library, which ended the task that follows the store: the host never read the store again.
+     */
+    void malformedItemsAreProtocolErrors()
+    {
+        const std::vector<std::string> malformed{
+                "[1]",
+                "[null]",
+                R"([{"deleted":true,"revision":3}])",
+                R"([{"deleted":true,"key":7,"revision":3}])",
+                R"([{"deleted":true,"key":"a","revision":"x"}])",
+                R"([{"key":"a","value":1,"revision":3}])",
+                R"([{"key":"a","value":"%%%","revision":3}])",
+                R"([{"key":"a","value":"e30=","revision":1e300}])"};
+        for (const auto &rows : malformed) {
+            int errors = 0;
+            withStore(
+                    [&](const HttpServerRequest &) -> HttpServerResponse {
+                        return {200, "",
+                                R"({"as_of":3,"events":)" + rows + R"(,"items":)" + rows + "}"};
+                    },
+                    [&](KvStore &store) -> Task<> {
+                        try {
+                            co_await store.watch("", Revision(1), Milliseconds(5));
+                        } catch (const StoreProtocolError &) {
+                            ++errors;
+                        }
+                        try {
+                            co_await store.list("");
+                        } catch (const StoreProtocolError &) {
+                            ++errors;
+                        }
+                    });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rows, 2, errors);
+        }
+    }
+
 private:
     static std::string storeItem(const std::string &key, int revision)
     {
