daemons: a process that stops with waiting tasks ends with status 0

Cause: run() destroyed the host and then the I/O context, which destroyed the frames of tasks that still waited and whose guards refer to the host. The host's sockets need the context, so no order is right. Change: both daemons end with exitProcess(), which flushes the log and destroys nothing.

--- a/daemons/endivedock_edge.cpp
+++ b/daemons/endivedock_edge.cpp
@@ -52,7 +52,7 @@
     boost::asio::signal_set hangUpSignal(context, SIGHUP);
     reloadSettingsOnHangUp(hangUpSignal, host, path);
     context.run();
-    return 0;
+    endivedock::exitProcess(0);
 }
 
 std::string settingsPath()
--- a/daemons/endivedockd.cpp
+++ b/daemons/endivedockd.cpp
@@ -1,4 +1,5 @@
 #include "endivedock/host.h"
+#include "endivedock/net.h"
 
 #include <iostream>
 #include <string>
@@ -47,7 +48,7 @@
     boost::asio::signal_set hangUpSignal(context, SIGHUP);
     reloadKeysOnHangUp(hangUpSignal, host, path);
     context.run();
-    return 0;
+    endivedock::exitProcess(0);
 }
 
 } // namespace
--- a/include/endivedock/net/task.h
+++ b/include/endivedock/net/task.h
@@ -66,6 +66,12 @@
  */
 void enableDeadPeerDetection(asio::ip::tcp::socket &socket);
 
+/**
+ * Ends the process without destroying objects. A host stops while tasks may still wait: these refer
+ * to the host, and the host to the I/O context that owns the tasks, so none can be destroyed first.
+ */
+[[noreturn]] void exitProcess(int status);
+
 inline asio::ip::udp::endpoint udpEndpoint(const Address &address)
 {
     return {asio::ip::make_address(address.ip), address.port};
--- a/tests/faulty_targets/endless_responses.py
+++ b/tests/faulty_targets/endless_responses.py
@@ -100,7 +100,8 @@
 
 
 class EndlessTest:
-    def __init__(self, kind, trickles, reads, directory):
+    def __init__(self, kind, trickles, reads, directory, timeout_s=TIMEOUT_S):
+        self.timeout_s = timeout_s
         self.target, self.reads, self.directory = EndlessTarget(kind, trickles), reads, directory
         self.store, self.other_target = Store(), None
         self.host, self.durations, self.other_durations = None, [], []
@@ -120,7 +121,7 @@
         for name in ("endless", "other"):
             resources.append({"resource_type": "routes", "metadata": {"name": name},
                               "spec": {"host": "h.example", "prefix": f"/{name}/", "kind": "safe",
-                                       "timeout_ms": int(TIMEOUT_S * 1000), "priority": 1,
+                                       "timeout_ms": int(self.timeout_s * 1000), "priority": 1,
                                        "target_latency_ms": 300, "service": name, "attempts": 1}})
             resources.append({"resource_type": "services", "metadata": {"name": name},
                               "spec": {"health_path": "/healthz", "max_connections": 260,
