edge: log how long the store has answered no other host

Cause: "Store reading started" did not tell whether a host took over because notices were missing or because the store had answered no reader. Change: both lines have answer_age_ms, the input of that decision.

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -193,7 +193,8 @@
         const bool readsStore = hasRegistry ? m_readerSelector.shouldRead(now) : !waitsForSeed;
         if (readsStore != m_isReadingStore)
             m_log.info(readsStore ? "Store reading started" : "Store reading stopped",
-                       {field("revision", m_registry.revision())});
+                       {field("revision", m_registry.revision()),
+                        field("answer_age_ms", m_readerSelector.answerAge(now).count())});
         const bool startsReading = readsStore && !m_isReadingStore;
         m_isReadingStore = readsStore;
         if (startsReading) {
--- a/include/endivedock/edge/store_reader_selector.h
+++ b/include/endivedock/edge/store_reader_selector.h
@@ -46,6 +46,8 @@
      * @return whether this host is to read the store
      */
     bool shouldRead(TimePoint now);
+    /** @return the time since the store last answered any other host, as far as is known */
+    Milliseconds answerAge(TimePoint now) const { return toMilliseconds(now - m_lastAnswerAt); }
     /** @return how long the next watch of this host, a reader, waits for changes */
     Milliseconds watchTimeout(TimePoint now) const;
 
