tests: a rollout that does not end shows what the hosts decided

Change: the hosts of tests with two versions log at level info. If a rollout does not reach its state in time, the test prints the status of the move and the lines of all hosts about rollouts, views and ended tasks.

--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -66,6 +66,16 @@
     return all(placing_host(fleet, service) for service, _, _ in services)
 
 
+def decision_lines(fleet):
+    """Returns the lines of all hosts about rollouts, views and tasks that ended, in their order."""
+    lines = []
+    for number in fleet.hosts:
+        with open(os.path.join(fleet.dir, f"host{number}.log"), encoding="utf8") as log:
+            lines += [f"host{number} {line}" for line in log
+                      if any(word in line for word in ("Rollout", "View", "Task ended"))]
+    return sorted(lines, key=lambda line: line.split()[1])
+
+
 class ProcessTest(unittest.TestCase):
     def start(self, hosts=4, **options):
         fleet = Fleet(hosts=hosts, services=SMALL_SERVICES, **options)
@@ -221,13 +231,19 @@
         self.assertEqual(200, send(fleet, 2, "/bergvik/quote-archive/quotes/1")[0])
 
     def start_with_two_versions(self):
-        return self.start(service_ms=3, versions={"bergvik/quote-archive": ["v1", "v2"]})
+        return self.start(service_ms=3, versions={"bergvik/quote-archive": ["v1", "v2"]},
+                          log_level="info")
 
     def wait_for_rollout_state(self, fleet, state, seconds):
         def has_ended():
             text = fleet.run_ctl("move", "status", "bergvik/quote-archive").stdout
             return f'"state":"{state}"' in text
-        wait_until(has_ended, f"the move in state {state}", seconds)
+        try:
+            wait_until(has_ended, f"the move in state {state}", seconds)
+        except TimeoutError:
+            print(fleet.run_ctl("move", "status", "bergvik/quote-archive").stdout)
+            print("".join(decision_lines(fleet)[-60:]), flush=True)
+            raise
 
     def test_rollout_completes_after_placing_host_is_killed(self):
         fleet = self.start_with_two_versions()
