edge: an unknown time since the store's last answer is logged as -1

Cause: on a host that knows no other host yet, answer_age_ms was the time since the start of the clock.

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -194,7 +194,8 @@
         if (readsStore != m_isReadingStore)
             m_log.info(readsStore ? "Store reading started" : "Store reading stopped",
                        {field("revision", m_registry.revision()),
-                        field("answer_age_ms", m_readerSelector.answerAge(now).count())});
+                        field("answer_age_ms",
+                              m_readerSelector.answerAge(now).value_or(Milliseconds(-1)).count())});
         const bool startsReading = readsStore && !m_isReadingStore;
         m_isReadingStore = readsStore;
         if (startsReading) {
--- a/include/endivedock/edge/store_reader_selector.h
+++ b/include/endivedock/edge/store_reader_selector.h
@@ -4,6 +4,7 @@
 #include "endivedock/edge/registry.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace endivedock {
@@ -46,8 +47,9 @@
      * @return whether this host is to read the store
      */
     bool shouldRead(TimePoint now);
-    /** @return the time since the store last answered any other host, as far as is known */
-    Milliseconds answerAge(TimePoint now) const { return toMilliseconds(now - m_lastAnswerAt); }
+    /** @return the time since the store last answered another host; nothing if none has told of it
+     */
+    std::optional<Milliseconds> answerAge(TimePoint now) const;
     /** @return how long the next watch of this host, a reader, waits for changes */
     Milliseconds watchTimeout(TimePoint now) const;
 
--- a/src/edge/store_reader_selector.cpp
+++ b/src/edge/store_reader_selector.cpp
@@ -89,6 +89,13 @@
     return now - *m_tooFewReadersSince >= takeoverDelay * static_cast<int>(steps);
 }
 
+std::optional<Milliseconds> StoreReaderSelector::answerAge(TimePoint now) const
+{
+    if (m_lastAnswerAt == TimePoint{})
+        return std::nullopt;
+    return toMilliseconds(now - m_lastAnswerAt);
+}
+
 Milliseconds StoreReaderSelector::watchTimeout(TimePoint now) const
 {
     const Rank *first = nullptr;
