--- a/include/endivedock/edge/store_reader_selector.h
+++ b/include/endivedock/edge/store_reader_selector.h
@@ -47,8 +47,7 @@
      * @return whether this host is to read the store
      */
     bool shouldRead(TimePoint now);
-    /** @return the time since the store last answered another host; nothing if none has told of it
-     */
+    /** @return the time since the store last answered another host, if this host knows it */
     std::optional<Milliseconds> answerAge(TimePoint now) const;
     /** @return how long the next watch of this host, a reader, waits for changes */
     Milliseconds watchTimeout(TimePoint now) const;
