--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -26,8 +26,7 @@
  * data is reset, and the reset can take the response away from the caller.
  */
 constexpr Seconds lingerTimeout{2};
-/** Longest time for which data is discarded; a caller that sends a long body needs more than one
- * read. */
+/** Longest time for which data is discarded, however steadily the caller sends. */
 constexpr Seconds maxLingerTime{30};
 /** Shortest idle timeout of a caller connection on which a response is due. */
 constexpr Milliseconds minResponseWaitTimeout{60'000};
