gateway: sessions and attempts have files of their own

Change: CallerSession keeps the pending requests of a connection and the order of responses, AttemptRunner exchanges one attempt with one target, placement_source.h has the concept of the source. The server reads, claims and decides.

--- a/include/endivedock/gateway.h
+++ b/include/endivedock/gateway.h
@@ -7,9 +7,12 @@
  */
 
 #include "endivedock/gateway/attempt_policy.h"
+#include "endivedock/gateway/attempt_runner.h"
 #include "endivedock/gateway/caller_connection.h"
+#include "endivedock/gateway/caller_session.h"
 #include "endivedock/gateway/gateway_server.h"
 #include "endivedock/gateway/http_message.h"
+#include "endivedock/gateway/placement_source.h"
 #include "endivedock/gateway/problem.h"
 #include "endivedock/gateway/request_plan.h"
 #include "endivedock/gateway/target_connection.h"
