--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -77,14 +77,6 @@
  * broadcast, and the other hosts request the changes over a stream.
  */
 constexpr std::size_t maxPushedBytes = 6000;
-/**
- * The placing host writes the final status of a rollout to the store at once. Any other host writes
- * the final status if this time has passed since the host learned that the rollout ended, and the
- * registry still contains no final status.
- */
-constexpr Milliseconds rolloutStatusTakeoverDelay{700};
-/** Interval between attempts of one host to write the final status of a rollout. */
-constexpr Milliseconds rolloutStatusRetryInterval{1500};
 /** Interval at which a draining host checks whether connections are still open. */
 constexpr Milliseconds drainCheckInterval{20};
 
@@ -113,6 +105,7 @@
                     return respond(header.sender, message);
                 })
     , m_crashArchive(m_executor, m_self, m_writeStore, m_registry, m_peers, m_placement, m_random)
+    , m_rollouts(m_executor, m_self, m_writeStore, m_registry, m_peers, m_placement, m_aggregator)
     , m_prober(m_executor, &P::parseProbeResponse,
                [this](const ServiceId &service, const TargetId &target,
                       const std::variant<ProbeResult, ProbeFailure> &outcome) {
@@ -337,7 +330,7 @@
     m_readerSelector.setHosts(hosts, now);
     m_placement.applyRegistry(m_registry, m_peers.hostCount(), now);
     m_crashArchive.applyRegistry(now);
-    applyRolloutOrders(now);
+    m_rollouts.applyOrders(now);
 }
 
 // --- Other hosts ---
@@ -367,16 +360,10 @@
             broadcastNotice();
         if (m_registry.removeExpiredTargets(now))
             applyRegistryChange();
-        for (const auto &[service, rollout] : m_rollouts) {
-            const bool isSettling =
-                    rollout.progress && rollout.progress->phase == RolloutPhase::Settling;
-            const ServiceBalancer *balancer = isSettling ? m_placement.find(service) : nullptr;
-            if (balancer != nullptr)
-                m_aggregator.setNewVersionCapacity(service, balancer->hasNewVersionCapacity(now));
-        }
+        m_rollouts.updateCapacities(now);
         m_aggregator.tick(now);
         sendLoadReports(now);
-        writeFinalRolloutStatuses(now);
+        m_rollouts.writeFinalStatuses(now);
         m_crashArchive.tick(now);
     }
 }
@@ -392,9 +379,7 @@
         entry.service = service;
         entry.targets = balancer->loadReport(placingHost, now);
         entry.rolloutSamples = balancer->takeRolloutSamples();
-        const auto rollout = m_rollouts.find(service);
-        if (rollout != m_rollouts.end())
-            entry.rollout = rollout->second.progress;
+        entry.rollout = m_rollouts.progress(service);
         loadReport.services.push_back(std::move(entry));
     }
     return loadReport;
@@ -501,7 +486,7 @@
             balancer->adoptServiceTimes(service.serviceTimes);
         }
         if (service.rollout)
-            applyRolloutProgress(service.service, *service.rollout);
+            m_rollouts.applyProgress(service.service, *service.rollout);
     }
 }
 
@@ -615,109 +600,6 @@
     }
 }
 
-// --- Rollouts ---
-
-template <EdgePlatform P>
-void EdgeHost<P>::applyRolloutOrders(TimePoint now)
-{
-    for (const auto &[service, balancer] : m_placement.balancers()) {
-        const auto &running = balancer->versions().running();
-        const auto found = m_rollouts.find(service);
-        if (!running) {
-            if (found != m_rollouts.end()) {
-                m_log.info("Rollout ended", {field("service", service)});
-                m_rollouts.erase(found);
-                m_aggregator.setRolloutOrder(service, std::nullopt, now);
-            }
-            continue;
-        }
-        if (found == m_rollouts.end() || found->second.order.revision != running->revision) {
-            m_log.info("Rollout ordered", {field("service", service), field("to", running->to),
-                                           field("duration_ms", running->duration.count()),
-                                           field("revision", running->revision)});
-            m_rollouts[service] = ActiveRollout{*running, now, std::nullopt, {}, {}, false};
-            balancer->setRolloutShare(Share(0));
-            balancer->setOldVersionOverflow(false);
-            startTask(m_executor, "verdict", writeRolloutStatus(service, RolloutState::Running));
-        }
-        m_aggregator.setRolloutOrder(service, running, m_rollouts.at(service).seenAt);
-    }
-}
-
-template <EdgePlatform P>
-void EdgeHost<P>::applyRolloutProgress(const ServiceId &service, const RolloutProgress &progress)
-{
-    const auto found = m_rollouts.find(service);
-    if (found == m_rollouts.end())
-        return;
-    ActiveRollout &rollout = found->second;
-    if (progress.number != static_cast<std::uint64_t>(rollout.order.revision.value()))
-        return;
-    const RolloutProgress merged =
-            rollout.progress ? mergeProgress(*rollout.progress, progress) : progress;
-    if (merged == rollout.progress)
-        return;
-    m_log.info("Rollout progressed",
-               {field("service", service), field("to", rollout.order.to),
-                field("phase", name(merged.phase)), field("share", trafficShareOf(merged).value()),
-                field("cause", name(merged.cause))});
-    if (merged.phase >= RolloutPhase::Done && rollout.endedAt == TimePoint{})
-        rollout.endedAt = SteadyClock().now();
-    rollout.progress = merged;
-    if (ServiceBalancer *balancer = m_placement.find(service)) {
-        balancer->setRolloutShare(trafficShareOf(merged));
-        balancer->setOldVersionOverflow(hasOldVersionOverflow(merged));
-    }
-}
-
-template <EdgePlatform P>
-void EdgeHost<P>::writeFinalRolloutStatuses(TimePoint now)
-{
-    for (auto &[service, rollout] : m_rollouts) {
-        if (rollout.endedAt == TimePoint{} || rollout.isWritingStatus ||
-            now < rollout.nextStatusWriteAt)
-            continue;
-        const bool isPlacingHost = m_peers.placingHost(service, now) == m_self;
-        if (!isPlacingHost && now - rollout.endedAt < edge_detail::rolloutStatusTakeoverDelay)
-            continue;
-        rollout.isWritingStatus = true;
-        rollout.nextStatusWriteAt = now + edge_detail::rolloutStatusRetryInterval;
-        const bool done = rollout.progress->phase == RolloutPhase::Done;
-        startTask(
-                m_executor, "verdict",
-                writeRolloutStatus(service, done ? RolloutState::Done : RolloutState::RolledBack));
-    }
-}
-
-template <EdgePlatform P>
-Task<> EdgeHost<P>::writeRolloutStatus(ServiceId service, RolloutState state)
-{
-    const auto found = m_rollouts.find(service);
-    if (found == m_rollouts.end())
-        co_return;
-    const RolloutOrder order = found->second.order;
-    const bool isPlacingHost = m_peers.placingHost(service, SteadyClock().now()) == m_self;
-    if (state == RolloutState::Running && !isPlacingHost)
-        co_return;
-    const StoreEntry entry = P::makeRolloutStatusEntry(service, order.to, state);
-    const StoreEntry *stored = m_registry.find(entry.key);
-    std::vector<ConditionalPut> conditionalPuts;
-    conditionalPuts.push_back({entry.key, stored ? stored->modRevision : Revision(0), entry.value});
-    try {
-        const CompareAndSwapResult result =
-                co_await m_writeStore.compareAndSwap(std::move(conditionalPuts), noLease);
-        m_log.info("Rollout status submitted",
-                   {field("service", service), field("to", order.to),
-                    field("swapped", result.wasSwapped), field("value", entry.value)});
-    } catch (const Error &error) {
-        m_log.warning("Rollout status could not be written",
-                      {field("service", service), field("error", error.what())});
-    }
-    const auto rollout = m_rollouts.find(service);
-    if (rollout != m_rollouts.end())
-        rollout->second.isWritingStatus = false;
-}
-
 // --- Probes ---
 
 template <EdgePlatform P>
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -6,6 +6,7 @@
 #include "endivedock/edge/edge_settings.h"
 #include "endivedock/edge/platform_concept.h"
 #include "endivedock/edge/registry_source_selector.h"
+#include "endivedock/edge/rollout_agent.h"
 #include "endivedock/edge/shared_placement.h"
 #include "endivedock/edge/store_reader_selector.h"
 #include "endivedock/edge/target_prober.h"
@@ -67,20 +68,6 @@
         bool &m_flag;
     };
 
-    /** A rollout whose order has no final status in this host's registry copy. */
-    struct ActiveRollout
-    {
-        RolloutOrder order;
-        /** When this host first saw the order. */
-        TimePoint seenAt;
-        std::optional<RolloutProgress> progress;
-        /** When this host learned that the rollout ended; TimePoint{} until then. */
-        TimePoint endedAt{};
-        /** Earliest time of the next attempt to write the final rollout status. */
-        TimePoint nextStatusWriteAt{};
-        bool isWritingStatus = false;
-    };
-
     // Tasks and HTTP handlers.
     Task<> runStoreReader();
     Task<> registerHost();
@@ -90,7 +77,6 @@
     Task<> fetchAnnouncedChanges();
     /** @return whether the host responded with changes that were applied */
     Task<bool> fetchRegistry(HostId host, Address address);
-    Task<> writeRolloutStatus(ServiceId service, RolloutState state);
     Task<> shutDown();
     Task<HttpServerResponse> handleReadinessRequest(HttpServerRequest request);
     Task<HttpServerResponse> handleAdminRequest(HttpServerRequest request);
@@ -105,7 +91,6 @@
     void recordStoreSuccess();
     void recordStoreFailure(const std::string &error);
     void applyRegistryChange();
-    void applyRolloutOrders(TimePoint now);
     void sendLoadReports(TimePoint now);
     HostLoadReport makeLoadReport(const std::vector<ServiceId> &services, HostId placingHost,
                                   TimePoint now);
@@ -113,8 +98,6 @@
     Milliseconds loadReportInterval() const;
     void handle(const PeerHeader &header, const EdgeMessage &message);
     void applyAggregatedLoad(const AggregatedLoad &aggregated, TimePoint now);
-    void applyRolloutProgress(const ServiceId &service, const RolloutProgress &progress);
-    void writeFinalRolloutStatuses(TimePoint now);
     void shareCrashRecords(TimePoint now);
     void handleCrashRecords(HostId from, const CrashRecords &message, TimePoint now);
     void startProbes(TimePoint now);
@@ -141,8 +124,8 @@
     bool m_hasRequestedCrashRecords = false;
     TimePoint m_nextCrashGossipAt{};
     CrashArchive<P> m_crashArchive;
+    RolloutAgent<P> m_rollouts;
     TargetProber m_prober;
-    std::map<ServiceId, ActiveRollout> m_rollouts;
     Gateway m_gateway;
     HttpServer m_readinessServer;
     std::optional<HttpServer> m_adminServer;
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -218,7 +218,9 @@
         request->plan = std::move(*plan);
     else
         request->plan.maxBodySize = Bytes(gateway_detail::maxBufferedBodyBytes);
-    co_await bufferBody(session->caller(), request);
+    const auto *refused = std::get_if<Refusal>(&planned);
+    if (refused == nullptr || refused->reason != RefusalReason::Unauthenticated)
+        co_await bufferBody(session->caller(), request);
     const bool mustRunAlone = !request->isBodyBuffered || !request->plan.isIdempotent;
     while (session->hasPending() &&
            (mustRunAlone || session->isExclusive() ||
--- a/include/endivedock/gateway/http_message.h
+++ b/include/endivedock/gateway/http_message.h
@@ -89,6 +89,17 @@
 /** Load report in a response header, in the format of ORCA (Open Request Cost Aggregation). */
 constexpr std::string_view loadReportField = "endpoint-load-metrics";
 
+constexpr std::string_view authorizationField = "Authorization";
+/** Tells the caller how to authenticate. */
+constexpr std::string_view challengeField = "WWW-Authenticate";
+constexpr std::string_view bearerScheme = "Bearer";
+
+/**
+ * @return the caller's key from "Authorization: Bearer KEY"; nothing if there is no such field,
+ * more than one, or one of another scheme. Valid for as long as @p fields is unchanged.
+ */
+std::optional<std::string_view> bearerToken(const HeaderFields &fields);
+
 /** What a target reports about itself in the header of a response. */
 struct TargetReport
 {
--- a/include/endivedock/gateway/request_plan.h
+++ b/include/endivedock/gateway/request_plan.h
@@ -16,6 +16,10 @@
 struct RequestPlan
 {
     ServiceId service;
+    /** The team that the caller belongs to; empty if its request needs no key. */
+    TeamId team;
+    /** The caller's key, and what the caller says of its team, are not passed on to targets. */
+    bool hidesCallerKey = false;
     /**
      * What the path is relative to, as the caller names it: a service, or a host whose routes lead
      * to several services. Equal paths of different authorities are unrelated.
@@ -45,6 +49,14 @@
     Revision configuration;
 };
 
+/**
+ * Returns the priority of a request; a team's rank goes before that of the route.
+ *
+ * @param teamRank   rank of the caller's team, 0 is the most urgent; absent if it has none
+ * @param routeRank  rank of the route
+ */
+int priorityOf(std::optional<int> teamRank, int routeRank);
+
 /**
  * Plans a request from its header alone. The path of the request is /team/service/rest.
  *
--- a/include/endivedock/routes/routing_table.h
+++ b/include/endivedock/routes/routing_table.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/core.h"
 #include "endivedock/servicetime.h"
+#include "endivedock/teams.h"
 
 #include <map>
 #include <optional>
@@ -50,6 +51,8 @@
     int attempts = 1;
     /** Rank of the requests by urgency; 0 is the most urgent. */
     int rank = 0;
+    /** Requests need no key, also if the configuration contains teams. */
+    bool isPublic = false;
     std::vector<WeightedService> weightedServices;
 };
 
@@ -86,10 +89,12 @@
 public:
     /** If two routes have the same host and prefix, the later one is used. */
     RoutingTable(ConfigurationVersion version, std::vector<Route> routes,
-                 std::vector<ServiceRules> services, RequestLimits limits);
+                 std::vector<ServiceRules> services, RequestLimits limits,
+                 TeamDirectory teams = {});
 
     ConfigurationVersion version() const { return m_version; }
     const RequestLimits &limits() const { return m_limits; }
+    const TeamDirectory &teams() const { return m_teams; }
     const std::vector<Route> &routes() const { return m_routes; }
     /** @param route  index into routes() */
     const RequestClass &requestClass(std::size_t route) const { return m_requestClasses[route]; }
@@ -110,6 +115,7 @@
     std::vector<RequestClass> m_requestClasses;
     std::map<ServiceId, ServiceRules> m_services;
     RequestLimits m_limits;
+    TeamDirectory m_teams;
     /** Maps a host, a line break and a path prefix, as one string, to an index into m_routes. */
     std::unordered_map<std::string, std::size_t> m_index;
 };
--- a/src/gateway/front_end.cpp
+++ b/src/gateway/front_end.cpp
@@ -82,6 +82,8 @@
     result.head.fields = {{"Content-Type", "application/problem+json"},
                           {std::string(notRunField), notRun ? "true" : "false"},
                           {std::string(requestIdField), formatRequestId(id)}};
+    if (description.httpStatus == 401)
+        result.head.fields.push_back({std::string(challengeField), std::string(bearerScheme)});
     if (description.retryAfter.count() > 0) {
         const Seconds delay =
                 std::max(description.retryAfter,
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -57,6 +57,26 @@
     return std::nullopt;
 }
 
+std::optional<std::string_view> bearerToken(const HeaderFields &fields)
+{
+    std::optional<std::string_view> result;
+    for (const auto &field : fields) {
+        if (!isNamed(field, authorizationField))
+            continue;
+        if (result)
+            return std::nullopt;
+        result = field.value;
+    }
+    if (!result || result->size() <= bearerScheme.size() ||
+        !equalIgnoringCase(result->substr(0, bearerScheme.size()), bearerScheme))
+        return std::nullopt;
+    result->remove_prefix(bearerScheme.size());
+    const std::size_t spaces = result->find_first_not_of(' ');
+    if (spaces == 0 || spaces == std::string_view::npos)
+        return std::nullopt;
+    return result->substr(spaces);
+}
+
 TargetReport parseTargetReport(const HeaderFields &fields)
 {
     TargetReport report;
--- a/src/gateway/request_plan.cpp
+++ b/src/gateway/request_plan.cpp
@@ -57,8 +57,21 @@
     return {reason, RunCertainty::NotRun};
 }
 
+/** Ranks of routes above this one count as equal if the caller's team has a rank. */
+constexpr int maxRouteRank = 15;
+/** Ranks of teams above this one count as equal. */
+constexpr int maxTeamRank = 7;
+
 } // namespace
 
+int priorityOf(std::optional<int> teamRank, int routeRank)
+{
+    if (!teamRank)
+        return -routeRank;
+    return -(std::clamp(*teamRank, 0, maxTeamRank) * (maxRouteRank + 1) +
+             std::clamp(routeRank, 0, maxRouteRank));
+}
+
 std::variant<RequestPlan, Refusal> planRequest(const RequestHead &head,
                                                const Declarations *declarations, TimePoint now)
 {
--- a/src/routes/routing_table.cpp
+++ b/src/routes/routing_table.cpp
@@ -37,10 +37,12 @@
 }
 
 RoutingTable::RoutingTable(ConfigurationVersion version, std::vector<Route> routes,
-                           std::vector<ServiceRules> services, RequestLimits limits)
+                           std::vector<ServiceRules> services, RequestLimits limits,
+                           TeamDirectory teams)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_limits(limits)
+    , m_teams(std::move(teams))
 {
     for (auto &service : services)
         m_services[service.id] = std::move(service);
