edge, host: new format version of messages, as refusals have new reasons

Cause: the reasons of refusals are encoded as numbers, and two were inserted. Change: hosts of the earlier release refuse the messages instead of reading wrong reasons. Measured: not run beside hosts of the earlier release.

--- a/src/edge/edge_message.cpp
+++ b/src/edge/edge_message.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint8_t formatVersion = 2;
+constexpr std::uint8_t formatVersion = 3;
 
 } // namespace
 
--- a/src/host/peer_message.cpp
+++ b/src/host/peer_message.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /** Version of the message format. A host rejects messages of any other version. */
-constexpr std::uint8_t formatVersion = 3;
+constexpr std::uint8_t formatVersion = 4;
 
 } // namespace
 
