fairness: waiting requests are served in fair order of their callers' teams

Cause: the placing host served waiting requests by priority and arrival, so a team that sent ten times its load, or retried at once, took the room of the others at the same priority. Change: FairQueue orders the requests of one priority by start-time fair queueing over teams, by expected service time; each request names the hash of its team. With one team, or none, the order is that of arrival, as before.

--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/balancing/target_state.h"
 #include "endivedock/balancing/version_policy.h"
+#include "endivedock/fairness.h"
 #include "endivedock/limits.h"
 #include "endivedock/quarantine.h"
 #include "endivedock/routes.h"
@@ -454,10 +455,10 @@
     /** @return how long a request may wait; a longer queue would make all responses late */
     Duration maxWait(const PlacementRequest &request) const;
     /**
-     * @return how long the request at the front of the queue has waited; zero if the queue is empty
-     *         or that request has a lower priority
+     * @return how long the request at the front of the queue has waited; zero if no request waits
+     *         that is served before a new one with @p key
      */
-    Duration waitOfQueueFront(const PlacementRequest &request, TimePoint now) const;
+    Duration waitOfQueueFront(const FairQueueKey &key, TimePoint now) const;
     /** Grants @p chosen to a request of this or another host, as a decision of this host. */
     TargetChoice grant(const PlacementRequest &request, const Candidate &chosen, PlacementMode mode,
                        TimePoint now);
@@ -511,8 +512,8 @@
     /** Grants of this host to other hosts, so that a repeated request gets the same response. */
     std::map<AttemptId, GrantId> m_grantsToOthers;
     std::set<std::pair<TimePoint, GrantId>> m_grantExpiries;
-    AdmissionQueue<WaitingRequest> m_waiting;
-    std::map<AttemptId, AdmissionQueue<WaitingRequest>::Ticket> m_tickets;
+    FairQueue<WaitingRequest> m_waiting;
+    std::map<AttemptId, FairQueue<WaitingRequest>::Ticket> m_tickets;
     /** Requests that were evicted from the queue and whose refusal has not been returned yet. */
     std::vector<PlacementRequest> m_evicted;
     RetryBudget m_retryBudget;
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -364,6 +364,7 @@
     result.route = request.plan.route;
     result.requestClass = request.plan.requestClass;
     result.priority = static_cast<std::int8_t>(request.plan.priority);
+    result.team = hashTeam(request.plan.team);
     result.isRetry = attemptNumber > 1 || request.plan.isPartOfRetry;
     result.remaining = toMilliseconds(request.plan.deadline - SteadyClock().now());
     result.fingerprint = request.fingerprint;
--- a/include/endivedock/placement/codec.h
+++ b/include/endivedock/placement/codec.h
@@ -18,7 +18,8 @@
     archive(request.attempt, request.service, request.transmissionNumber, request.route,
             request.requestClass, request.priority, request.isRetry, request.remaining,
             request.fingerprint, request.excludedTargets, request.closedTargets,
-            request.latencyObjective, request.zone, request.body, request.connectedTargets);
+            request.latencyObjective, request.zone, request.body, request.connectedTargets,
+            request.team);
 }
 
 template <typename Archive>
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/core.h"
+#include "endivedock/fairness.h"
 #include "endivedock/servicetime.h"
 
 #include <optional>
@@ -35,6 +36,8 @@
     RequestClass requestClass;
     /** Requests with a higher value are served first and can evict others from a full queue. */
     std::int8_t priority = 1;
+    /** Team of the caller, among which the room of the targets is divided. */
+    TeamHash team;
     /** True for an attempt after a failed one, at this host or at a caller further upstream. */
     bool isRetry = false;
     /** Time until the request's deadline. */
--- a/src/balancing/balancer_choice.cpp
+++ b/src/balancing/balancer_choice.cpp
@@ -291,10 +291,10 @@
     return std::max(limit, minWaitLimit);
 }
 
-Duration ServiceBalancer::waitOfQueueFront(const PlacementRequest &request, TimePoint now) const
+Duration ServiceBalancer::waitOfQueueFront(const FairQueueKey &key, TimePoint now) const
 {
     const auto *front = m_waiting.front();
-    if (front == nullptr || front->priority < request.priority)
+    if (front == nullptr || m_waiting.countAhead(key) == 0)
         return Duration::zero();
     return now - front->item.arrivedAt;
 }
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -177,19 +177,21 @@
         return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
     if (auto refusal = checkRetryBudget(request, m_retryBudget, now))
         return *refusal;
-    const std::size_t requestsAhead = m_waiting.countAhead(request.priority);
+    const FairQueueKey key{request.priority, request.team,
+                           m_serviceTimes.expected(request.requestClass)};
+    const std::size_t requestsAhead = m_waiting.countAhead(key);
     const Decision decision = decide(request, requestsAhead, Duration::zero(), now);
-    if (decision.chosen && m_waiting.empty())
+    if (decision.chosen && m_waiting.empty()) {
+        m_waiting.charge(key);
         return grant(request, *decision.chosen, PlacementMode::Central, now);
-    const bool isQueueStanding =
-            !decision.chosen && waitOfQueueFront(request, now) > maxWait(request);
+    }
+    const bool isQueueStanding = !decision.chosen && waitOfQueueFront(key, now) > maxWait(request);
     if (isQueueStanding || (!decision.chosen && !decision.shouldWait))
         return refuse(isQueueStanding ? RefusalReason::QueueFull : decision.reason,
                       decision.reason == RefusalReason::NoTarget ? longRetryDelay
                                                                  : shortRetryDelay);
-    const Duration latestStart =
-            maxExpectedTime(request) - m_serviceTimes.expected(request.requestClass);
-    auto admission = m_waiting.add(WaitingRequest{request, now}, request.priority,
+    const Duration latestStart = maxExpectedTime(request) - key.work;
+    auto admission = m_waiting.add(WaitingRequest{request, now}, key,
                                    now + std::max(latestStart, Duration::zero()), maxWaiting);
     if (!admission.ticket)
         return refuse(RefusalReason::QueueFull, shortRetryDelay);
