--- a/tests/balancing/mixed_load.cpp
+++ b/tests/balancing/mixed_load.cpp
@@ -131,6 +131,7 @@
         request.attempt = {self, RequestId(number), 1};
         request.service = service;
         request.requestClass = kind.requestClass;
+        request.team = kind.team;
         request.priority = static_cast<std::int8_t>(kind.priority);
         request.fingerprint = Fingerprint(number);
         request.zone = ZoneId("a");
--- a/tests/balancing/mixed_load.h
+++ b/tests/balancing/mixed_load.h
@@ -17,6 +17,7 @@
     Milliseconds latencyObjective{0};
     Milliseconds deadline{0};
     int priority = 1;
+    TeamHash team{};
 };
 
 /** A service whose targets are slowed down at random moments, and what its callers send. */
--- a/tests/balancing/mixed_load_test.cpp
+++ b/tests/balancing/mixed_load_test.cpp
@@ -27,6 +27,7 @@
 {
     CPPUNIT_TEST_SUITE(MixedLoadTest);
     CPPUNIT_TEST(shortRequestsAreNotJudgedByLongOnes);
+    CPPUNIT_TEST(oneTeamDoesNotTakeTheRoomOfAnother);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,6 +44,32 @@
             CPPUNIT_ASSERT_MESSAGE(results[0].text(), results[0].shareWithinObjective() >= 0.9);
         }
     }
+
+    /**
+     * Load pattern: one team sends three times what the targets can do, beside a team that needs a
+     * fifth of them. The smaller team is served as if it were alone, but for what nearly full
+     * targets cost.
+     */
+    void oneTeamDoesNotTakeTheRoomOfAnother()
+    {
+        const RequestKindLoad small{longClass,          90, Milliseconds(100), Milliseconds(400),
+                                    Milliseconds(1500), 1,  TeamHash(1)};
+        RequestKindLoad loud = small;
+        loud.team = TeamHash(2);
+        loud.perSecond = 1500;
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            MixedLoad load;
+            load.kinds = {small};
+            const KindResult alone = simulate(load, seed).front();
+            load.kinds = {small, loud};
+            const auto results = simulate(load, seed);
+            CPPUNIT_ASSERT_MESSAGE(results[0].text() + "; alone " + alone.text(),
+                                   results[0].shareWithinObjective() >=
+                                           alone.shareWithinObjective() - 0.1);
+            const int served = results[1].withinObjective + results[1].late;
+            CPPUNIT_ASSERT_MESSAGE(results[1].text(), served >= results[1].requested / 8);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MixedLoadTest);
