store: bytes above 127 are no base64

On arm64 it passed. Change: text that is not ASCII is refused before it is decoded. Measured: store_test failed before, passes now on x86-64.

--- a/src/store/base64.cpp
+++ b/src/store/base64.cpp
@@ -1,5 +1,7 @@
 #include "endivedock/store/etcd_store.h"
 
+#include <algorithm>
+
 #include <sodium.h>
 
 namespace endivedock {
@@ -18,6 +20,12 @@
 
 std::string decodeBase64(std::string_view text)
 {
+    // Where char is signed, sodium takes some bytes above 127 for characters of its alphabet.
+    constexpr unsigned char firstNonAscii = 0x80;
+    const bool isAscii = std::all_of(text.begin(), text.end(),
+                                     [](unsigned char byte) { return byte < firstNonAscii; });
+    if (!isAscii)
+        throw StoreProtocolError("store response: expected a base64 value");
     std::string result(text.size(), '\0');
     std::size_t length = 0;
     const int status = sodium_base642bin(reinterpret_cast<unsigned char *>(result.data()),
