edge: a store that comes back from an older copy is followed

Cause: a registry copy never goes back to a lower revision, so all hosts followed for good what the store had held before its return; readers got 410 and listed again without end. Change: a revision is the store's era and its number, era first; the client of the store reads the era from each answer. A registry copy that enters an era keeps what is about to be written again, and hosts write their own entries again.

--- a/include/endivedock/balancing/registered_target.h
+++ b/include/endivedock/balancing/registered_target.h
@@ -23,6 +23,8 @@
     Milliseconds remainingWarmup{0};
     /** Unix time of the target's start in milliseconds; distinguishes restarts under one id. */
     std::optional<std::int64_t> startedAt;
+    /** Grows with each entry that the process writes. */
+    std::int64_t sequence = 0;
     /** The store's revision of the entry. */
     Revision revision;
 };
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -106,6 +106,7 @@
                 })
     , m_crashArchive(m_executor, m_self, m_writeStore, m_registry, m_peers, m_placement, m_random)
     , m_rollouts(m_executor, m_self, m_writeStore, m_registry, m_peers, m_placement, m_aggregator)
+    , m_restorer(m_executor, m_self, m_writeStore, m_registry, m_peers, m_random)
     , m_prober(m_executor, &P::parseProbeResponse,
                [this](const ServiceId &service, const TargetId &target,
                       const std::variant<ProbeResult, ProbeFailure> &outcome) {
@@ -358,13 +359,14 @@
         nextReportAt = now + loadReportInterval();
         if (m_isReadingStore && now >= m_nextNoticeAt)
             broadcastNotice();
-        if (m_registry.removeExpiredTargets(now))
+        if (m_registry.removeExpiredEntries(now))
             applyRegistryChange();
         m_rollouts.updateCapacities(now);
         m_aggregator.tick(now);
         sendLoadReports(now);
         m_rollouts.writeFinalStatuses(now);
         m_crashArchive.tick(now);
+        m_restorer.tick(now);
     }
 }
 
@@ -562,7 +564,7 @@
     const TimePoint startedAt = SteadyClock().now();
     const Revision known = m_registry.revision();
     try {
-        EdgeMessage request = RegistryRequest{known};
+        EdgeMessage request = RegistryRequest{m_registry.requestRevision()};
         const EdgeMessage response = co_await m_streams.request(host, address, std::move(request));
         const auto *delta = std::get_if<RegistryDelta>(&response);
         const TimePoint now = SteadyClock().now();
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -9,6 +9,7 @@
 #include "endivedock/edge/rollout_agent.h"
 #include "endivedock/edge/shared_placement.h"
 #include "endivedock/edge/store_reader_selector.h"
+#include "endivedock/edge/store_restorer.h"
 #include "endivedock/edge/target_prober.h"
 #include "endivedock/loadreports.h"
 
@@ -125,6 +126,7 @@
     TimePoint m_nextCrashGossipAt{};
     CrashArchive<P> m_crashArchive;
     RolloutAgent<P> m_rollouts;
+    StoreRestorer<P> m_restorer;
     TargetProber m_prober;
     Gateway m_gateway;
     HttpServer m_readinessServer;
--- a/include/endivedock/edge/registry.h
+++ b/include/endivedock/edge/registry.h
@@ -71,6 +71,13 @@
 /**
  * This host's copy of the entries in the platform's store. Its revision never decreases, whether an
  * update comes from the store or from another host.
+ *
+ * The store may come back from a copy that is some seconds old, with the next era. What it then
+ * shows is followed, with these exceptions, since all of it is about to be written again:
+ *  - a configuration is never replaced by one of a lower version;
+ *  - a target's process that was draining or gone stays so until it writes a newer entry;
+ *  - targets, evacuations and rollout orders that the copy lacks are kept for a while;
+ *  - what hosts write is kept, and is returned by lostEntries() until the store contains it again.
  */
 class Registry
 {
@@ -107,13 +114,23 @@
      */
     void recordStoreReconnect(TimePoint now) { m_storeReconnectedAt = now; }
     /**
-     * Removes expired targets whose retention has ended.
+     * Removes expired targets and lost entries whose retention has ended.
      *
-     * @return whether any target was removed
+     * @return whether anything was removed
+     */
+    bool removeExpiredEntries(TimePoint now);
+    /**
+     * @return writes of entries that hosts had written and that the store has lost, at most
+     *         @p maxCount
      */
-    bool removeExpiredTargets(TimePoint now);
+    std::vector<ConditionalPut> lostEntries(std::size_t maxCount) const;
 
     Revision revision() const { return m_revision; }
+    /**
+     * @return the revision after which changes are to be requested from another host: that of this
+     *         copy, or 0 if this copy followed an era of the store further than others did
+     */
+    Revision requestRevision() const { return m_needsFullCopy ? Revision(0) : m_revision; }
     /** @return the routing table, or null if this copy has never contained a configuration */
     std::shared_ptr<const RoutingTable> table() const { return m_table; }
     std::vector<RegisteredTarget> targetsOf(const ServiceId &service) const;
@@ -130,6 +147,9 @@
 
     /** Expired targets are kept for this long after the store became reachable again. */
     static constexpr Milliseconds expiredTargetRetention{2100};
+    /** What operators wrote and the store has lost is kept for this long, until they write it
+     * again. */
+    static constexpr Milliseconds lostEntryRetention{10'000};
     /** Number of removals that are recorded: those of about two releases of 900 targets. */
     static constexpr std::size_t maxRemovals = 2000;
     /** Number of gaps that are recorded; the two oldest ones are joined if there are more. */
@@ -141,7 +161,19 @@
         StoreEntry entry;
         RegistryRecord record;
         /** Set if the entry was removed from the store but stays in use until this time. */
-        std::optional<TimePoint> retainedUntil;
+        std::optional<TimePoint> retainedUntil = std::nullopt;
+        /** Set if the store has lost the entry; it stays in use until this time. */
+        std::optional<TimePoint> lostUntil = std::nullopt;
+        /** Revision of the older entry that the store has in place of the lost one; 0 if none. */
+        Revision storedRevision = Revision(0);
+    };
+
+    /** A target's process that has left the registry, by the last entry that it wrote. */
+    struct Departure
+    {
+        std::optional<std::int64_t> startedAt;
+        std::int64_t sequence = 0;
+        Revision at;
     };
 
     /**
@@ -155,6 +187,21 @@
     };
 
     void applyEntry(const StoreEntry &entry);
+    /**
+     * @return an entry of a snapshot that enters an era. Another host, for which the entry has not
+     *         changed, gives it with a revision of the earlier era, which may be lower than that of
+     *         the change which this host saw and the store has lost.
+     */
+    StoreEntry inEraOf(Revision revision, StoreEntry entry) const;
+    /** Applies an entry of a later era than that of @p item. @return false if it is a new entry */
+    bool applyRestored(Item &item, const StoreEntry &entry, const RegistryRecord &record);
+    /** Keeps an entry that is missing since the store came back. @return false if it is to go */
+    bool retainLost(Item &item, TimePoint now);
+    /** @return whether the record is that of a process that had left, before its next entry */
+    bool hasDeparted(const std::string &key, const RegistryRecord &record) const;
+    void recordDeparture(const std::string &key, const Item &item);
+    /** Notices that a copy of a later era is about to be applied. */
+    void enterEra(Revision revision, TimePoint now);
     void removeEntry(const std::string &key, Revision at, TimePoint now);
     /** Drops the oldest recorded removals while there are too many. */
     void trimRemovals();
@@ -179,6 +226,11 @@
     /** All removals after this revision are in m_removals, except for those in m_gaps. */
     Revision m_removalsCompleteSince;
     std::deque<Gap> m_gaps;
+    /** Targets that have left, at most maxRemovals. */
+    std::map<std::string, Departure> m_departures;
+    bool m_needsFullCopy = false;
+    /** Revision at which this copy entered the present era; 0 in the first one that it knows. */
+    Revision m_eraStart;
     TimePoint m_storeReconnectedAt{};
     Log m_log{"registry"};
 };
--- a/include/endivedock/net/http_client.h
+++ b/include/endivedock/net/http_client.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace endivedock {
 
@@ -20,6 +22,8 @@
 {
     unsigned status = 0;
     std::string body;
+    /** Names and values of the header fields. */
+    std::vector<std::pair<std::string, std::string>> fields = {};
 };
 
 /**
--- a/include/endivedock/store/store_concept.h
+++ b/include/endivedock/store/store_concept.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/core.h"
 #include "endivedock/net.h"
+#include "endivedock/store/store_era.h"
 
 #include <concepts>
 #include <cstdint>
--- a/src/edge/registry.cpp
+++ b/src/edge/registry.cpp
@@ -19,6 +19,8 @@
     if (found != m_items.end() && !found->second.retainedUntil &&
         found->second.entry.modRevision >= entry.modRevision)
         return;
+    const bool isOfLaterEra = found != m_items.end() &&
+                              eraOf(found->second.entry.modRevision) < eraOf(entry.modRevision);
     RegistryRecord record;
     try {
         record = m_parser(entry);
@@ -28,6 +30,12 @@
                       {field("key", entry.key), field("revision", entry.modRevision),
                        field("error", error.what())});
     }
+    if (isOfLaterEra && applyRestored(found->second, entry, record))
+        return;
+    if (hasDeparted(entry.key, record))
+        record = UnknownRecord{};
+    else
+        m_departures.erase(entry.key);
     if (const auto *configuration = std::get_if<ConfigurationRecord>(&record)) {
         if (m_table && configuration->table->version() <= m_table->version()) {
             m_log.warning("Older configuration ignored",
@@ -40,7 +48,7 @@
                         field("routes", m_table->routes().size())});
         }
     }
-    m_items[entry.key] = {entry, std::move(record), std::nullopt};
+    m_items[entry.key] = {entry, std::move(record)};
     m_removals.erase(entry.key);
 }
 
@@ -53,6 +61,9 @@
     trimRemovals();
     if (found == m_items.end())
         return;
+    const bool isLost = eraOf(found->second.entry.modRevision) < eraOf(at) && at <= m_eraStart;
+    if (isLost && retainLost(found->second, now))
+        return;
     const auto *target = std::get_if<RegisteredTarget>(&found->second.record);
     const bool isAfterOutage = now - m_storeReconnectedAt < expiredTargetRetention;
     if (target && !target->isDraining && isAfterOutage) {
@@ -60,6 +71,7 @@
             found->second.retainedUntil = m_storeReconnectedAt + expiredTargetRetention;
         return;
     }
+    recordDeparture(key, found->second);
     m_items.erase(found);
 }
 
@@ -71,10 +83,16 @@
         m_removalsCompleteSince = snapshot.revision;
     else
         recordGap(m_revision, snapshot.revision);
+    const bool entersEra = m_revision > Revision(0) && eraOf(snapshot.revision) > eraOf(m_revision);
+    enterEra(snapshot.revision, now);
+    m_needsFullCopy = false;
     std::set<std::string> present;
     for (const auto &entry : snapshot.entries) {
         present.insert(entry.key);
-        applyEntry(entry);
+        if (entersEra)
+            applyEntry(inEraOf(snapshot.revision, entry));
+        else
+            applyEntry(entry);
     }
     std::vector<std::string> missing;
     for (const auto &[key, item] : m_items) {
@@ -112,6 +130,7 @@
 
 void Registry::applyChanges(const StoreChanges &changes, TimePoint now)
 {
+    enterEra(changes.revision, now);
     for (const auto &change : changes.changes) {
         if (change.modRevision <= m_revision)
             continue;
@@ -123,10 +142,15 @@
     m_revision = std::max(m_revision, changes.revision);
 }
 
-bool Registry::removeExpiredTargets(TimePoint now)
+bool Registry::removeExpiredEntries(TimePoint now)
 {
-    return std::erase_if(m_items, [now](const auto &item) {
-               return item.second.retainedUntil && now >= *item.second.retainedUntil;
+    return std::erase_if(m_items, [this, now](const auto &element) {
+               const auto &[key, item] = element;
+               const bool isExpired = (item.retainedUntil && now >= *item.retainedUntil) ||
+                                      (item.lostUntil && now >= *item.lostUntil);
+               if (isExpired)
+                   recordDeparture(key, item);
+               return isExpired;
            }) > 0;
 }
 
@@ -235,6 +259,11 @@
     }
     if (delta.from > m_revision)
         return false;
+    if (eraOf(delta.revision) > eraOf(m_revision) && delta.from < m_revision) {
+        // Entries that this host saw change after `from` may have gone back to what they were.
+        m_needsFullCopy = true;
+        return false;
+    }
     if (delta.from < m_revision)
         removeMissingEntries(delta, now);
     if (!delta.hasAllRemovals)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -51,7 +51,10 @@
         parser.body_limit(maxBodyBytes);
         co_await http::async_read(m_stream, m_buffer, parser, asio::use_awaitable);
         m_isReusable = parser.get().keep_alive();
-        co_return HttpClientResponse{parser.get().result_int(), std::move(parser.get().body())};
+        HttpClientResponse result{parser.get().result_int(), std::move(parser.get().body())};
+        for (const auto &field : parser.get().base())
+            result.fields.emplace_back(field.name_string(), field.value());
+        co_return result;
     }
 
     beast::tcp_stream &stream() { return m_stream; }
--- a/tests/edge/registry_convergence_test.cpp
+++ b/tests/edge/registry_convergence_test.cpp
@@ -185,7 +185,7 @@
     static void assertEqual(const StoreModel &store, Registry registry, TimePoint now,
                             const std::string &message)
     {
-        registry.removeExpiredTargets(now + Registry::expiredTargetRetention * 2);
+        registry.removeExpiredEntries(now + Registry::expiredTargetRetention * 2);
         const StoreModel::State &state = store.stateAt(registry.revision());
         CPPUNIT_ASSERT_EQUAL_MESSAGE(message, state.size(),
                                      registry.targetsOf(ServiceId("quotes")).size());
--- a/tests/edge/registry_test.cpp
+++ b/tests/edge/registry_test.cpp
@@ -73,7 +73,7 @@
         m_registry.applyChanges(change(4, "target:b", std::nullopt), m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_registry.targetsOf(ServiceId("quotes")).size());
         m_registry.applyChanges(change(5, "target:a", "quotes"), m_now);
-        CPPUNIT_ASSERT(m_registry.removeExpiredTargets(m_now + Registry::expiredTargetRetention));
+        CPPUNIT_ASSERT(m_registry.removeExpiredEntries(m_now + Registry::expiredTargetRetention));
         const auto remaining = m_registry.targetsOf(ServiceId("quotes"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), remaining.size());
         CPPUNIT_ASSERT(remaining[0].id == TargetId("a"));
@@ -123,7 +123,7 @@
             changes.revision = Revision(3);
             reader.applyChanges(changes, m_now);
             CPPUNIT_ASSERT(other.applyDelta(reader.deltaSince(Revision(1), m_now), m_now));
-            other.removeExpiredTargets(m_now + Registry::expiredTargetRetention);
+            other.removeExpiredEntries(m_now + Registry::expiredTargetRetention);
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.targetsOf(ServiceId("quotes")).size());
         }
     }
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -43,6 +43,19 @@
         self.changed = asyncio.Condition()
         self.is_down, self.loss_rate = False, 0.0
         self.acknowledged = {}
+        # Rises each time the store comes back from an older copy; sent in all answers if set.
+        self.era, self.copies, self.calls, self.writers = None, None, 0, set()
+
+    def copy(self):
+        self.copies = dict(self.items), self.revision
+
+    async def restore(self):
+        """Comes back from the copy: what was written since then is gone, and so are connections."""
+        self.items, self.revision = dict(self.copies[0]), self.copies[1]
+        self.era += 1
+        self.history = [entry for entry in self.history if entry[0] <= self.revision]
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def put(self, key, value):
         self.revision += 1
@@ -75,7 +88,7 @@
         after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             oldest = self.history[0][0] if self.history else self.revision + 1
-            if after + 1 < oldest and after < self.revision:
+            if (after + 1 < oldest and after < self.revision) or after > self.revision:
                 return 410, {}
             events = [self.item(k, v, r) for r, k, v in self.history if r > after]
             left = end - time.monotonic()
@@ -116,16 +129,20 @@
         return 404, {}
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while head := await read_head(reader):
                 body = await reader.readexactly(int(head[1].get("content-length", 0)))
+                self.calls += 1
                 status, answer = await self.answer(head[0], body)
                 if random.random() < self.loss_rate:
                     break
-                writer.write(format_message(status, json.dumps(answer).encode()))
+                fields = [] if self.era is None else [("Store-Era", self.era)]
+                writer.write(format_message(status, json.dumps(answer).encode(), fields))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
+        self.writers.discard(writer)
         writer.close()
 
 
