--- a/include/endivedock/core/time.h
+++ b/include/endivedock/core/time.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <ctime>
 
 namespace endivedock {
 
@@ -25,6 +26,21 @@
     TimePoint now() const { return std::chrono::steady_clock::now(); }
 };
 
+/**
+ * The clock of the operating system that also advances while the machine sleeps. Its times are
+ * comparable only among themselves.
+ */
+struct BootClock
+{
+    TimePoint now() const
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(std::chrono::seconds(time.tv_sec) +
+                         std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
 /** A clock that advances only on calls of advance(). */
 class ManualClock
 {
@@ -36,7 +52,7 @@
     TimePoint m_now{};
 };
 
-static_assert(Clock<SteadyClock> && Clock<ManualClock>);
+static_assert(Clock<SteadyClock> && Clock<BootClock> && Clock<ManualClock>);
 
 /** @return the whole milliseconds in @p duration, rounded down */
 constexpr Milliseconds toMilliseconds(Duration duration)
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -112,7 +112,7 @@
                       const std::variant<ProbeResult, ProbeFailure> &outcome) {
                    handleProbeResult(service, target, outcome);
                })
-    , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random},
+    , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random, startUsageAgent()},
                 P::makeFrontEnd({m_registry, m_roundRobin}), m_placement, m_runGuard)
     , m_readinessServer(m_executor, m_settings.readiness,
                         [this](HttpServerRequest request) {
@@ -135,6 +135,16 @@
                                      field("store", formatAddress(m_settings.store))});
 }
 
+template <EdgePlatform P>
+OwnUsage *EdgeHost<P>::startUsageAgent()
+{
+    if (!m_settings.usage)
+        return nullptr;
+    m_usage.emplace(m_executor, typename UsageAgent<P>::Context{m_settings, m_self, m_registry,
+                                                                m_peers, m_metrics, m_random});
+    return &m_usage->own();
+}
+
 template <EdgePlatform P>
 bool EdgeHost<P>::isReady() const
 {
@@ -447,6 +457,8 @@
         handleCrashRecords(header.sender, *records, now);
     } else if (const auto *draining = std::get_if<DrainingNotice>(&message)) {
         m_placement.handle(header.sender, *draining, now);
+    } else if (const auto *counts = std::get_if<UsageCounts>(&message); counts && m_usage) {
+        m_usage->handle(*counts);
     }
 }
 
@@ -632,6 +644,8 @@
     if (m_isDraining)
         return;
     m_isDraining = true;
+    if (m_usage)
+        m_usage->stop();
     m_log.info("Shutdown started", {field("name", m_settings.name)});
     startTask(m_executor, "shutdown", shutDown());
 }
@@ -649,6 +663,8 @@
     while (m_gateway.activity().openConnectionCount > 0 &&
            SteadyClock().now() - drainStartedAt < m_settings.shutdownTimeout)
         co_await sleepFor(edge_detail::drainCheckInterval);
+    if (m_usage)
+        m_usage->sendCounts();
     m_log.info("Shutdown finished", {field("name", m_settings.name),
                                      field("open", m_gateway.activity().openConnectionCount)});
     m_context.stop();
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -11,6 +11,7 @@
 #include "endivedock/edge/store_reader_selector.h"
 #include "endivedock/edge/store_restorer.h"
 #include "endivedock/edge/target_prober.h"
+#include "endivedock/edge/usage_agent.h"
 #include "endivedock/loadreports.h"
 
 #include <map>
@@ -69,6 +70,9 @@
         bool &m_flag;
     };
 
+    /** @return the counts of requests of this host; null if usage is not reported */
+    OwnUsage *startUsageAgent();
+
     // Tasks and HTTP handlers.
     Task<> runStoreReader();
     Task<> registerHost();
@@ -127,6 +131,8 @@
     CrashArchive<P> m_crashArchive;
     RolloutAgent<P> m_rollouts;
     StoreRestorer<P> m_restorer;
+    /** Absent if usage is not reported. */
+    std::optional<UsageAgent<P>> m_usage;
     TargetProber m_prober;
     Gateway m_gateway;
     HttpServer m_readinessServer;
--- a/include/endivedock/edge/edge_settings.h
+++ b/include/endivedock/edge/edge_settings.h
@@ -3,7 +3,9 @@
 #include "endivedock/balancing.h"
 #include "endivedock/core.h"
 #include "endivedock/telemetry.h"
+#include "endivedock/usage/usage_window.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,8 @@
     Milliseconds drainDelay{2500};
     /** The process ends this long after a stop signal at the latest, even if requests still run. */
     Milliseconds shutdownTimeout{5500};
+    /** How the usage of teams is reported; absent if it is not. */
+    std::optional<UsageSettings> usage;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/include/endivedock/edge/platform_concept.h
+++ b/include/endivedock/edge/platform_concept.h
@@ -3,6 +3,7 @@
 #include "endivedock/edge/registry.h"
 #include "endivedock/gateway.h"
 #include "endivedock/store/store_concept.h"
+#include "endivedock/usage.h"
 
 #include <concepts>
 
@@ -15,6 +16,19 @@
     WeightedRoundRobin &roundRobin;
 };
 
+/**
+ * Client of the receiver of usage reports.
+ *
+ *  - report(holder, report, timeout)  sends one report; holder is the name of the host
+ */
+template <typename R>
+concept UsageReceiver =
+        requires(R receiver, std::string holder, UsageReport report, Milliseconds timeout) {
+            {
+                receiver.report(holder, report, timeout)
+            } -> std::same_as<Task<UsageAnswer>>;
+        };
+
 /**
  * Adapter to the platform that the edge host runs on: the key-value store, the interface towards
  * callers and targets, and the formats of store entries and probe responses. The adapter only
@@ -23,6 +37,7 @@
 template <typename P>
 concept EdgePlatform =
         WatchableStore<typename P::Store> && FrontEnd<typename P::Front> &&
+        UsageReceiver<typename P::Usage> &&
         requires(const StoreEntry &entry, const FrontEndContext &context, const ServiceId &service,
                  const VersionId &version, RolloutState state, const RegisteredHost &host,
                  const std::string &name, const ResponseHead &response, const CrashRecords &records,
--- a/include/endivedock/gateway/attempt_runner-inl.h
+++ b/include/endivedock/gateway/attempt_runner-inl.h
@@ -43,6 +43,7 @@
     const TimePoint startedAt = SteadyClock().now();
     AttemptResult result;
     bool hasStartedSending = false;
+    RunCount runCount(m_usage, *request);
     std::string cause;
     try {
         const TimePoint connectBy =
@@ -56,7 +57,10 @@
         request->cancel = [active] { active->close(); }; // Signals the cancellation.
         hasStartedSending = true;
         co_await sendRequest(session, request, target.placement.target, *connection);
+        runCount.setSent();
         result = co_await receiveResponse(session, request, *connection, report);
+        if (result.outcome == AttemptOutcome::Shed || result.outcome == AttemptOutcome::Draining)
+            runCount.setNotRun();
     } catch (const TargetConnectError &error) {
         result.outcome = AttemptOutcome::ConnectFailed;
         cause = error.what();
--- a/include/endivedock/gateway/attempt_runner.h
+++ b/include/endivedock/gateway/attempt_runner.h
@@ -6,6 +6,7 @@
 #include "endivedock/gateway/placement_source.h"
 #include "endivedock/gateway/target_connection_pool.h"
 #include "endivedock/telemetry.h"
+#include "endivedock/usage.h"
 
 #include <optional>
 #include <set>
@@ -56,6 +57,40 @@
     AttemptReport m_report;
 };
 
+/**
+ * Counts a request for its team on scope exit, if a target may have begun to run it; once for all
+ * its attempts.
+ */
+class RunCount
+{
+public:
+    /** @param usage  null if requests are not counted */
+    RunCount(OwnUsage *usage, GatewayRequest &request)
+        : m_usage(usage)
+        , m_request(request)
+    {
+    }
+    ~RunCount()
+    {
+        if (m_usage == nullptr || !m_sentAt || m_request.isUsageCounted ||
+            m_request.plan.team.value().empty())
+            return;
+        m_request.isUsageCounted = true;
+        m_usage->record(m_request.plan.team, *m_sentAt);
+    }
+    RunCount(const RunCount &) = delete;
+
+    /** The request has been sent, so that a target may run it. */
+    void setSent() { m_sentAt = Milliseconds(unixTimeMilliseconds()); }
+    /** The target stated that it did not run the request. */
+    void setNotRun() { m_sentAt.reset(); }
+
+private:
+    OwnUsage *m_usage;
+    GatewayRequest &m_request;
+    std::optional<Milliseconds> m_sentAt;
+};
+
 /**
  * Runs single attempts: exchanges a request with one target over a connection of the host's pool.
  * Responses are buffered; one that is too long is streamed to the caller.
@@ -67,12 +102,17 @@
 class AttemptRunner
 {
 public:
-    /** The references must outlive this object. */
+    /**
+     * The references must outlive this object.
+     *
+     * @param usage  counts the requests that targets began to run; null if they are not counted
+     */
     AttemptRunner(asio::any_io_executor executor, Metrics &metrics, const F &frontEnd,
-                  P &placements)
+                  P &placements, OwnUsage *usage)
         : m_metrics(metrics)
         , m_frontEnd(frontEnd)
         , m_placements(placements)
+        , m_usage(usage)
         , m_pool(std::move(executor))
     {
     }
@@ -104,6 +144,7 @@
     Metrics &m_metrics;
     const F &m_frontEnd;
     P &m_placements;
+    OwnUsage *m_usage;
     TargetConnectionPool m_pool;
     /** Targets whose malformed pauses have been logged. */
     std::set<TargetId> m_malformedPauses;
--- a/include/endivedock/gateway/caller_session.h
+++ b/include/endivedock/gateway/caller_session.h
@@ -30,6 +30,8 @@
      */
     bool isBodyStreamed = false;
     std::vector<TargetId> triedTargets;
+    /** Whether a target may have begun to run the request, and this was counted. */
+    bool isUsageCounted = false;
     /** Time spent on attempts at targets so far. */
     Microseconds targetTime{0};
     ResponseOptions responseOptions;
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -41,7 +41,7 @@
     , m_frontEnd(std::move(frontEnd))
     , m_placements(placements)
     , m_runGuard(runGuard)
-    , m_attempts(executor, m_context.metrics, m_frontEnd, placements)
+    , m_attempts(executor, m_context.metrics, m_frontEnd, placements, m_context.usage)
     , m_lastArrival(SteadyClock().now())
 {
     startTask(m_executor, "gateway-accept", accept());
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -37,12 +37,14 @@
     } -> std::same_as<void>;
 };
 
-/** The host's id, metrics and random numbers; both references must outlive the server. */
+/** The host's id, metrics, random numbers and counts; all but the id must outlive the server. */
 struct GatewayContext
 {
     HostId host;
     Metrics &metrics;
     Random &random;
+    /** Counts the requests of teams that targets began to run; null if they are not counted. */
+    OwnUsage *usage = nullptr;
 };
 
 /** The gateway's open connections and requests, which a graceful drain waits for. */
--- a/include/endivedock/net/http_client.h
+++ b/include/endivedock/net/http_client.h
@@ -26,6 +26,9 @@
     std::vector<std::pair<std::string, std::string>> fields = {};
 };
 
+/** Names and values of header fields. */
+using HttpClientFields = std::vector<std::pair<std::string, std::string>>;
+
 /**
  * An HTTP/1.1 client of one server, for small bodies. Reconnects when needed. Only one request may
  * be in progress at a time.
@@ -41,10 +44,11 @@
      * Sends one request and reads the complete response.
      *
      * @param timeout  for connecting, writing and reading together
+     * @param fields   further header fields
      * @throws HttpError if no complete response arrived; the request may have taken effect
      */
     Task<HttpClientResponse> request(std::string method, std::string path, std::string body,
-                                     Milliseconds timeout);
+                                     Milliseconds timeout, HttpClientFields fields = {});
 
     /**
      * Sends one POST request on a separate connection and passes the body of the response to
--- a/include/endivedock/platform.h
+++ b/include/endivedock/platform.h
@@ -89,6 +89,20 @@
 
 static_assert(WatchableStore<KvStore>);
 
+/** Client of the platform's interface for the duties of a single host. */
+class PlatformUsageReceiver
+{
+public:
+    PlatformUsageReceiver(asio::any_io_executor executor, Address address);
+
+    Task<UsageAnswer> report(std::string holder, UsageReport report, Milliseconds timeout);
+
+private:
+    HttpClient m_client;
+};
+
+static_assert(UsageReceiver<PlatformUsageReceiver>);
+
 /** Implements FrontEnd for the HTTP interface of the platform towards callers and targets. */
 class PlatformFrontEnd
 {
@@ -119,6 +133,7 @@
 {
     using Store = KvStore;
     using Front = PlatformFrontEnd;
+    using Usage = PlatformUsageReceiver;
 
     static RegistryRecord parseRecord(const StoreEntry &entry);
     static Front makeFrontEnd(const FrontEndContext &context) { return Front(context); }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -77,12 +77,14 @@
 HttpClient::HttpClient(HttpClient &&) noexcept = default;
 
 Task<HttpClientResponse> HttpClient::request(std::string method, std::string path, std::string body,
-                                             Milliseconds timeout)
+                                             Milliseconds timeout, HttpClientFields fields)
 {
     // m_connection is empty while the connection is in use, so a failed connection is not reused.
     std::unique_ptr<Connection> connection = std::move(m_connection);
     try {
         auto request = makeRequest(m_server, method, path, std::move(body));
+        for (const auto &[name, value] : fields)
+            request.set(name, value);
         const bool isNew = !connection;
         if (isNew)
             connection = std::make_unique<Connection>(m_executor);
