--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -43,6 +43,7 @@
         self.changed = asyncio.Condition()
         self.is_down, self.loss_rate = False, 0.0
         self.acknowledged = {}
+        self.leases, self.lease_of = {}, {}  # End and duration by lease, and lease by key.
         # Rises each time the store comes back from an older copy; sent in all answers if set.
         self.era, self.copies, self.calls, self.writers = None, None, 0, set()
 
@@ -57,8 +58,9 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    async def put(self, key, value):
+    async def put(self, key, value, lease=0):
         self.revision += 1
+        self.lease_of[key] = lease
         self.items[key] = (value, self.revision)
         self.history.append((self.revision, key, value))
         self.acknowledged[key] = time.monotonic()
@@ -100,14 +102,47 @@
                 except asyncio.TimeoutError:
                     pass
 
+    async def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [key for key, owner in self.lease_of.items() if owner == lease]:
+            del self.lease_of[key]
+            await self.remove(key)
+
+    async def handle_lease(self, method, path, body):
+        now = time.monotonic()
+        for lease in [lease for lease, (end, _) in self.leases.items() if end <= now]:
+            await self.end_lease(lease)
+        if path == "/-/kv-lease":
+            lease, ttl = self.revision * 1000 + len(self.leases) + 1, json.loads(body)["ttl_ms"]
+            self.leases[lease] = (now + ttl / 1000, ttl)
+            asyncio.get_running_loop().call_later(ttl / 1000, self.expire_soon)
+            return 200, {"lease": lease, "ttl_ms": ttl}
+        lease = int(path.rsplit("/", 1)[1])
+        if lease not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            await self.end_lease(lease)
+            return 200, {}
+        ttl = self.leases[lease][1]
+        self.leases[lease] = (now + ttl / 1000, ttl)
+        asyncio.get_running_loop().call_later(ttl / 1000, self.expire_soon)
+        return 200, {}
+
+    def expire_soon(self):
+        now = time.monotonic()
+        for lease in [lease for lease, (end, _) in self.leases.items() if end <= now]:
+            asyncio.ensure_future(self.end_lease(lease))
+
     async def transact(self, body):
         for row in body["expected"]:
             if self.items.get(row["key"], (None, 0))[1] != row["revision"]:
                 found = [self.item(r["key"], *self.items[r["key"]]) for r in body["expected"]
                          if r["key"] in self.items]
                 return 412, {"items": found}
+        if any(row.get("lease", 0) not in {0, *self.leases} for row in body["puts"]):
+            return 404, {}
         for row in body["puts"]:
-            await self.put(row["key"], base64.b64decode(row["value"]).decode())
+            await self.put(row["key"], base64.b64decode(row["value"]).decode(), row.get("lease", 0))
         return 200, {"revision": self.revision}
 
     async def answer(self, line, body):
@@ -126,6 +161,8 @@
             return (200, self.item(query["key"], *found)) if found else (404, {})
         if url.path == "/-/kv-txn":
             return await self.transact(json.loads(body))
+        if url.path.startswith(("/-/kv-lease", "/-/kv-keep/")):
+            return await self.handle_lease(method, url.path, body)
         return 404, {}
 
     async def serve(self, reader, writer):
@@ -146,6 +183,55 @@
         writer.close()
 
 
+class UsageReceiver:
+    """The platform's receiver of usage reports, which checks each accepted call.
+
+    One window never has two different counts, a token has one holder, and two holders do not take
+    turns within a lease. Answers are lost at `loss_rate`.
+    """
+
+    def __init__(self, lease_s):
+        self.lease_s, self.loss_rate = lease_s, 0.0
+        self.counts, self.token, self.holder_of, self.turns = {}, 0, {}, []
+        self.calls, self.violations = 0, []
+
+    def accept(self, holder, token, report, now):
+        self.calls += 1
+        if self.holder_of.setdefault(token, holder) != holder:
+            self.violations.append(f"token {token} of {self.holder_of[token]} used by {holder}")
+        if token < self.token:
+            return 409
+        self.token = token
+        if self.counts.setdefault(report["window"], report["counts"]) != report["counts"]:
+            self.violations.append(f"window {report['window']} with two counts, by {holder}")
+        if self.turns and self.turns[-1][0] == holder:
+            self.turns[-1][1] = now
+            return 200
+        if len(self.turns) > 1 and self.turns[-2][0] == holder:
+            if now - self.turns[-2][1] < self.lease_s:
+                self.violations.append(f"{holder}, {self.turns[-1][0]}, {holder} in one lease")
+        self.turns.append([holder, now])
+        return 200
+
+    async def serve(self, reader, writer):
+        try:
+            while head := await read_head(reader):
+                line, fields = head
+                body = await reader.readexactly(int(fields.get("content-length", 0)))
+                if line.split(" ")[:2] != ["POST", "/usage"]:
+                    writer.write(format_message(404, b""))
+                    continue
+                status = self.accept(fields["lease-holder"], int(fields["fencing-token"]),
+                                     json.loads(body), time.monotonic())
+                if random.random() < self.loss_rate:
+                    break
+                writer.write(format_message(status, b""))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        writer.close()
+
+
 class TargetStandIn:
     """One target with slots, a queue and a cold start. Records each run in `log`."""
 
