usage: a host that starts to collect asks all others for their counts

Cause: a restarted collector got only later changes, so windows from before its restart were reported short. Change: an empty message asks for all counts; a collector sends it twice after it became one. Conclusion: replaces the pushes to new collectors.

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -458,7 +458,7 @@
     } else if (const auto *draining = std::get_if<DrainingNotice>(&message)) {
         m_placement.handle(header.sender, *draining, now);
     } else if (const auto *counts = std::get_if<UsageCounts>(&message); counts && m_usage) {
-        m_usage->handle(*counts);
+        m_usage->handle(header.sender, *counts);
     }
 }
 
--- a/include/endivedock/edge/usage_agent.h
+++ b/include/endivedock/edge/usage_agent.h
@@ -8,8 +8,8 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endivedock {
@@ -44,14 +44,7 @@
 
     /** Counts the requests that this host sends to targets. */
     OwnUsage &own() { return m_own; }
-    void handle(const UsageCounts &message)
-    {
-        const UsageWindow current = windowAt(timeOfDay(), m_settings.windowLength);
-        const bool isPlausible = after(message.window, keptWindows(m_settings)) >= current &&
-                                 message.window <= after(current, 2);
-        if (isPlausible)
-            m_tally.merge(message);
-    }
+    void handle(HostId from, const UsageCounts &message);
     /** Hands the duty over, if this host holds it. */
     void stop()
     {
@@ -69,12 +62,15 @@
     static constexpr Milliseconds shareInterval{500};
     /** Hosts besides the holder that get all counts; the holder and one of them may be lost. */
     static constexpr std::size_t standbys = 2;
+    /** A host that starts to collect asks this often for all counts, as messages may be lost. */
+    static constexpr int countRequests = 2;
     static constexpr Milliseconds reportTimeout{1000};
 
     UsageAgent(asio::any_io_executor executor, const Context &context, Incarnation incarnation)
         : m_settings(*context.settings.usage)
         , m_name(context.settings.name)
         , m_self(context.self)
+        , m_incarnation(incarnation)
         , m_registry(context.registry)
         , m_peers(context.peers)
         , m_metrics(context.metrics)
@@ -104,13 +100,14 @@
     std::optional<StoredUsageRecord> parse(const StoreEntry &entry) const;
     /** @return all hosts, those first that stand first for holder */
     std::vector<HostId> ranking() const;
-    /** @return the hosts to which this one sends its counts */
+    /** @return the hosts to which all hosts send their counts */
     std::vector<HostId> collectors() const;
     void logUnreported();
 
     UsageSettings m_settings;
     std::string m_name;
     HostId m_self;
+    Incarnation m_incarnation;
     const Registry &m_registry;
     EdgePeers &m_peers;
     Metrics &m_metrics;
@@ -120,10 +117,8 @@
     UsageTally m_tally;
     UsageDuty m_duty;
     LeaseId m_lease;
-    /** Hosts that have got all of this host's counts. */
-    std::set<HostId> m_informed;
-    /** The holder that has also got the counts that this host holds of others. */
-    std::optional<HostId> m_informedHolder;
+    /** How often this host still asks for all counts, since it has become a collector. */
+    int m_remainingRequests = countRequests;
     Revision m_parsedRevision;
     std::optional<StoredUsageRecord> m_parsedRecord;
     bool m_isStopping = false;
@@ -179,7 +174,6 @@
         if (std::find(result.begin(), result.end(), host) == result.end())
             result.push_back(host);
     }
-    std::erase(result, m_self);
     return result;
 }
 
@@ -200,23 +194,33 @@
     const std::vector<UsageCounts> due = m_own.takeDue(timeOfDay());
     for (const auto &message : due)
         m_tally.merge(message);
-    const auto holder = storedHolder();
     const std::vector<HostId> hosts = collectors();
     for (const HostId host : hosts) {
-        const bool isNewHolder = host == holder && holder != m_informedHolder;
-        if (isNewHolder)
-            m_informedHolder = holder;
-        if (!m_informed.contains(host) || isNewHolder) {
-            for (const auto &message : m_tally.counts()) {
-                if (message.host == m_self || isNewHolder)
-                    m_peers.sendDivided(host, message);
-            }
+        if (host == m_self)
             continue;
-        }
         for (const auto &message : due)
             m_peers.sendDivided(host, message);
     }
-    m_informed = std::set<HostId>(hosts.begin(), hosts.end());
+    const bool isCollector = std::find(hosts.begin(), hosts.end(), m_self) != hosts.end();
+    if (!isCollector)
+        m_remainingRequests = countRequests;
+    else if (std::exchange(m_remainingRequests, std::max(m_remainingRequests - 1, 0)) > 0)
+        m_peers.broadcast(UsageCounts{m_self, m_incarnation, current, {}});
+}
+
+template <EdgePlatform P>
+void UsageAgent<P>::handle(HostId from, const UsageCounts &message)
+{
+    if (message.teams.empty()) {
+        for (const auto &counts : m_tally.counts())
+            m_peers.sendDivided(from, counts);
+        return;
+    }
+    const UsageWindow current = windowAt(timeOfDay(), m_settings.windowLength);
+    const bool isPlausible = after(message.window, keptWindows(m_settings)) >= current &&
+                             message.window <= after(current, 2);
+    if (isPlausible)
+        m_tally.merge(message);
 }
 
 template <EdgePlatform P>
--- a/include/endivedock/usage/messages.h
+++ b/include/endivedock/usage/messages.h
@@ -17,7 +17,8 @@
 
 /**
  * Cumulative counts of one host in one window, for all teams or for some. A host sends its own to
- * the hosts that collect them, and these send the ones that they hold to a new holder.
+ * the hosts that collect them. Without teams, requests all counts that the receiver holds; a host
+ * sends this when it starts to collect.
  */
 struct UsageCounts
 {
--- a/src/usage/usage_tally.cpp
+++ b/src/usage/usage_tally.cpp
@@ -93,7 +93,8 @@
             UsageCounts message{source.first, source.second, window, {}};
             for (const auto &[index, count] : counts)
                 message.teams.push_back({m_teams.at(index.value()), count});
-            result.push_back(std::move(message));
+            if (!message.teams.empty()) // Such a message is a request.
+                result.push_back(std::move(message));
         }
     }
     return result;
--- a/tests/faulty_store/usage_duty.py
+++ b/tests/faulty_store/usage_duty.py
@@ -1,6 +1,9 @@
 #!/usr/bin/env python3
-"""Lets one of several entry hosts report the requests of each team, kills the host that holds the
-duty, pauses the next one for longer than its lease, and checks the reports against what targets ran.
+"""Lets one of several entry hosts report the requests of each team, disturbs the hosts, and checks
+the reports against what targets ran. Scenarios:
+
+holders     kills the host that holds the duty, and pauses the next one for longer than its lease
+collectors  kills the three hosts that collect the counts of all others, and starts them again
 
 The store, the receiver of reports and the targets are stand-ins in this process. The program ends
 only processes that it started.
@@ -20,7 +23,7 @@
 from fault_soak import Host, Record, listen, pick_ports  # noqa: E402
 from standins import Store, TargetStandIn, UsageReceiver, read_head  # noqa: E402
 
-HOSTS, TARGETS, TEAMS = 5, 3, 4
+HOSTS, COLLECTORS, TARGETS, TEAMS = 5, 3, 3, 4
 WINDOW_S, LATE_S, LEASE_S = 2, 16, 2
 # Requests that a killed host ran and had not yet told others of, as a share of all.
 MAX_LOST_SHARE = 0.05
@@ -114,10 +117,10 @@
     await asyncio.gather(*tasks)
 
 
-async def run(directory):
+async def run(directory, scenario):
     hosts = []
     try:
-        return await disturb_holders(directory, hosts)
+        return await disturb_hosts(directory, hosts, scenario)
     finally:
         for host in hosts:
             host.signal(signal.SIGKILL)
@@ -130,8 +133,7 @@
         await asyncio.gather(*others, return_exceptions=True)
 
 
-async def disturb_holders(directory, hosts):
-    store, receiver, record = Store(), UsageReceiver(LEASE_S), TeamRecord()
+async def start(directory, hosts, store, receiver, record):
     _, store_port = await listen(store.serve)
     _, receiver_port = await listen(receiver.serve)
     for number in range(TARGETS):
@@ -143,20 +145,41 @@
     ports = pick_ports()
     for number in range(HOSTS):
         host = Host(number, store_port, directory, ports)
+        host.settings["limits"]["cpu_share"] = 0.4 if number < COLLECTORS else 0.2
         host.settings["bounds"] += [f"report_window_s={WINDOW_S}", f"usage_late_s={LATE_S}",
                                     f"lease_ms={LEASE_S * 1000}", "require_fencing=true"]
         host.settings["cloud"] = {"address": f"127.0.0.1:{receiver_port}", "rate_per_s": 50,
                                   "duties": ["usage_reporting"], "duty_per_s": 50}
         host.start()
         hosts.append(host)
+
+
+async def disturb_hosts(directory, hosts, scenario):
+    store, receiver, record = Store(), UsageReceiver(LEASE_S), TeamRecord()
+    await start(directory, hosts, store, receiver, record)
     if not await wait_until(lambda: holder_among(hosts)):
         return "no host holds the duty"
     state = {"stopping": False, "sent": 0}
-    sending = asyncio.ensure_future(send_requests(list(hosts), state))
+    # Those that serve requests when the collectors are killed stay alive.
+    serving = hosts if scenario == "holders" else hosts[COLLECTORS:]
+    sending = asyncio.ensure_future(send_requests(list(serving), state))
     if not await wait_until(lambda: sum(sum(counts.values())
                                         for counts in receiver.counts.values()) > 100):
         return "no window was reported"
     receiver.loss_rate = 0.3
+    failure = await {"holders": disturb_holders, "collectors": restart_collectors}[scenario](hosts)
+    if failure:
+        return failure
+    await asyncio.sleep(2 * WINDOW_S)
+    state["stopping"] = True
+    await sending
+    last = int(time.time() / WINDOW_S)
+    if not await wait_until(lambda: last in receiver.counts):
+        return f"window {last} was not reported"
+    return judge(receiver, record, hosts, 3 if scenario == "holders" else 1)
+
+
+async def disturb_holders(hosts):
     killed = holder_among(hosts)
     killed.signal(signal.SIGKILL)
     killed.process.wait()
@@ -168,18 +191,20 @@
     running = [host for host in living if host is not paused]
     taken_over = await wait_until(lambda: holder_among(running))
     paused.signal(signal.SIGCONT)
-    if not taken_over:
-        return "no host took over from the paused one"
-    await asyncio.sleep(2 * WINDOW_S)
-    state["stopping"] = True
-    await sending
-    last = int(time.time() / WINDOW_S)
-    if not await wait_until(lambda: last in receiver.counts):
-        return f"window {last} was not reported"
-    return judge(receiver, record, hosts)
+    return None if taken_over else "no host took over from the paused one"
+
+
+async def restart_collectors(hosts):
+    for host in hosts[:COLLECTORS]:
+        host.signal(signal.SIGKILL)
+    for host in hosts[:COLLECTORS]:
+        host.process.wait()
+        os.remove(host.log)  # Its terms have ended.
+        host.start()
+    return None if await wait_until(lambda: holder_among(hosts)) else "no host took over"
 
 
-def judge(receiver, record, hosts):
+def judge(receiver, record, hosts, min_holders):
     reported = collections.Counter()
     for counts in receiver.counts.values():
         reported.update(counts)
@@ -191,8 +216,8 @@
         return receiver.violations[0]
     if missing:
         return f"windows {sorted(missing)} were not reported"
-    if len(set(receiver.holder_of.values())) < 3:
-        return "fewer than three hosts held the duty"
+    if len(set(receiver.holder_of.values())) < min_holders:
+        return f"fewer than {min_holders} hosts held the duty"
     if set(record.by_team) != {f"team{number}" for number in range(TEAMS)}:
         return "a run had no team"
     for team, count in record.by_team.items():
@@ -205,7 +230,7 @@
 
 def main():
     with tempfile.TemporaryDirectory() as directory:
-        violation = asyncio.run(run(directory))
+        violation = asyncio.run(run(directory, sys.argv[1]))
     if violation:
         print(f"BROKEN {violation}")
         sys.exit(1)
