usage: record windows earlier; keep to the newest record that a host has seen

After the store came back from an older copy, a window could be recorded again with other counts. Change: a window is recorded 2 s after its end; a term builds on the newest record that the host has seen.

--- a/include/endivedock/usage/usage_duty.h
+++ b/include/endivedock/usage/usage_duty.h
@@ -156,8 +156,11 @@
     /** @return the windows that were given up since the last call */
     std::vector<UnreportedWindow> takeUnreported();
 
-    /** A window is recorded this share of UsageSettings::lateAfter after its end. */
-    static constexpr double recordAfter = 0.45;
+    /**
+     * A window is recorded this share of UsageSettings::lateAfter after its end: nearly all its
+     * requests have ended then, and the store may be away for most of the remaining time.
+     */
+    static constexpr double recordAfter = 0.2;
     /** A call to the receiver or the store begins only if the lease runs this much longer. */
     static constexpr Milliseconds callRoom{600};
     static constexpr Milliseconds maxJitter{4000};
@@ -174,6 +177,8 @@
     /** @return whether no host that may have counted in the window was lost with its counts */
     bool isCovered(UsageWindow window, const UsageView &view) const;
     void endTerm(TimePoint now);
+    /** Keeps the record if it is newer than all before. */
+    void observe(const UsageRecord &record);
     Milliseconds endOf(UsageWindow window) const
     {
         return beginOf(after(window), m_settings.windowLength);
@@ -197,6 +202,8 @@
     Revision m_recordRevision;
     /** Whether the store had no record when the term began: no counts were lost before it. */
     bool m_isFirstTerm = false;
+    /** The newest record that this host has seen; newer than the store's if that went back. */
+    UsageRecord m_newest;
     /** A record that is being written: if the outcome is unknown, it is written again as it is. */
     std::optional<UsageRecord> m_writing;
     TimePoint m_nextWriteAt{};
--- a/src/usage/own_usage.cpp
+++ b/src/usage/own_usage.cpp
@@ -10,7 +10,7 @@
  * Times after a window's end at which all its counts are sent again. They reach a holder that was
  * cut off meanwhile, and contain the requests that took longest.
  */
-constexpr std::array<Milliseconds, 3> fullSendTimes{Milliseconds(1000), Milliseconds(2200),
+constexpr std::array<Milliseconds, 3> fullSendTimes{Milliseconds(700), Milliseconds(1500),
                                                     Milliseconds(3800)};
 
 } // namespace
--- a/src/usage/usage_duty.cpp
+++ b/src/usage/usage_duty.cpp
@@ -36,7 +36,7 @@
     case UnreportedCause::NotConfirmed:
         break;
     }
-    return "no report was confirmed in time";
+    return "its report may not have arrived";
 }
 
 std::string_view name(UsageAnswer answer)
@@ -54,8 +54,16 @@
     return "unknown";
 }
 
+void UsageDuty::observe(const UsageRecord &record)
+{
+    if (std::pair(m_newest.token, m_newest.through) < std::pair(record.token, record.through))
+        m_newest = record;
+}
+
 UsageStep UsageDuty::next(const UsageView &view)
 {
+    if (view.record)
+        observe(view.record->record);
     const bool mustEndLease = m_hasLease && (m_isStopping || m_phase == Phase::Follower);
     if (mustEndLease) {
         endTerm(view.now);
@@ -180,8 +188,10 @@
         m_record = view.record->record;
         m_recordRevision = view.record->revision;
     }
-    UsageRecord record = m_record;
-    m_isFirstTerm = m_recordRevision == Revision(0);
+    observe(m_record);
+    // The store may have come back from an older copy.
+    UsageRecord record = m_newest;
+    m_isFirstTerm = record.token == FencingToken(0);
     if (m_isFirstTerm) {
         const UsageWindow current = windowAt(view.timeOfDay, m_settings.windowLength);
         record.holder = m_self;
@@ -246,6 +256,7 @@
     if (!m_writing)
         return;
     m_record = std::move(*m_writing);
+    observe(m_record);
     m_recordRevision = revision;
     m_writing.reset();
     std::erase_if(m_confirmed,
--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -176,9 +176,10 @@
             const std::uint32_t value = ++m_counts[{source, window}];
             for (auto &[id, host] : hosts) {
                 if (id == source || drawPercent() < 90)
-                    host.tally.merge({source, Incarnation(static_cast<std::uint64_t>(
-                                                      startOfDay.count())),
-                                      window, {{team, value}}});
+                    host.tally.merge({source,
+                                      Incarnation(static_cast<std::uint64_t>(startOfDay.count())),
+                                      window,
+                                      {{team, value}}});
             }
         }
     }
@@ -190,8 +191,12 @@
         const StoreState &copy = host.reachesStore ? m_copies.front() : m_frozenCopies[id];
         if (host.reachesStore)
             m_frozenCopies[id] = copy;
-        const UsageView view{now,         timeOfDay() + host.clockOffset, copy.holder,
-                             copy.record, id.value() - 1,                 true,
+        const UsageView view{now,
+                             timeOfDay() + host.clockOffset,
+                             copy.holder,
+                             copy.record,
+                             id.value() - 1,
+                             true,
                              host.tally};
         for (int steps = 0; steps < 4; ++steps) {
             UsageStep next = host.duty->next(view);
@@ -205,7 +210,7 @@
 
     bool canReachStore(const Host &host) const { return !isStoreAway && host.reachesStore; }
 
-    void carryOut(HostId, Host &, const usage_step::Wait &) { }
+    void carryOut(HostId, Host &, const usage_step::Wait &) {}
     void carryOut(HostId id, Host &host, const usage_step::Claim &)
     {
         if (!canReachStore(host) || store.holder) {
@@ -440,8 +445,10 @@
         fleet.of(holder).isAlive = false;
         for (auto &[id, host] : fleet.hosts) {
             host.reachesReceiver = true;
-            host.tally.merge({HostId(99), Incarnation(1),
-                              windowAt(startOfDay, settings.windowLength), {{team, 50}}});
+            host.tally.merge({HostId(99),
+                              Incarnation(1),
+                              windowAt(startOfDay, settings.windowLength),
+                              {{team, 50}}});
         }
         const UsageWindow window = windowAt(startOfDay, settings.windowLength);
         const TeamCounts recorded = fleet.store.record->record.unconfirmed.at(window);
@@ -490,6 +497,13 @@
         fleet.store = older;
         fleet.store.revision = newest;
         fleet.store.holder.reset();
+        // Windows that the older copy does not contain have been reported, without these counts.
+        for (auto &[id, host] : fleet.hosts)
+            host.tally.merge({HostId(99),
+                              Incarnation(1),
+                              after(windowAt(startOfDay, settings.windowLength), 4),
+                              {{team, 50}}});
+        CPPUNIT_ASSERT(fleet.isReported(4));
         fleet.run(Seconds(40)); // The receiver finds tokens and counts that do not fit.
         CPPUNIT_ASSERT(fleet.receiver.tokenOwners.size() >= 2);
         CPPUNIT_ASSERT(fleet.isReported(12));
