balancing: what a balancer decides, reports and keeps has headers of its own

No behaviour changes. Measured: tests of balancing, loadreports and edge pass. Conclusion: the split by duty comes before zones.

--- a/include/endivedock/balancing.h
+++ b/include/endivedock/balancing.h
@@ -9,5 +9,7 @@
 #include "endivedock/balancing/balancing_settings.h"
 #include "endivedock/balancing/registered_target.h"
 #include "endivedock/balancing/service_balancer.h"
+#include "endivedock/balancing/target_choice.h"
+#include "endivedock/balancing/target_load.h"
 #include "endivedock/balancing/target_state.h"
 #include "endivedock/balancing/version_policy.h"
--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "endivedock/balancing/balancer_records.h"
+#include "endivedock/balancing/target_choice.h"
+#include "endivedock/balancing/target_load.h"
 #include "endivedock/balancing/target_state.h"
 #include "endivedock/balancing/version_policy.h"
 #include "endivedock/fairness.h"
@@ -19,93 +22,6 @@
 
 namespace endivedock {
 
-/** Hash of a target's id and start time; identifies one process in messages between hosts. */
-using TargetHash = StrongId<struct TargetHashTag, std::uint32_t>;
-
-TargetHash hashTarget(const RegisteredTarget &target);
-
-/** A range of targets in the order of their hashes; both ends belong to it. */
-struct TargetRange
-{
-    TargetHash first{0};
-    TargetHash last{std::numeric_limits<std::uint32_t>::max()};
-};
-
-/** The load of one target, as hosts report it to each other. */
-struct TargetLoad
-{
-    TargetHash target;
-    /**
-     * Requests in flight at the target: in a load report those that the reporting host sent and the
-     * placing host did not place, in an aggregated load those of all other hosts.
-     */
-    std::uint16_t inFlight = 0;
-    /** Slowdown that the target last reported, in hundredths; 0 if no recent report is known. */
-    std::uint16_t slowdown = 0;
-    /** Age of the slowdown report. */
-    Milliseconds age{0};
-};
-
-/**
- * The outcome of one attempt during a rollout. The host that decides whether the rollout continues
- * evaluates these samples.
- */
-struct RolloutSample
-{
-    VersionRole role = VersionRole::Old;
-    /** See PlacementRequest::route. */
-    std::int16_t route = -1;
-    bool isFailure = false;
-    /** Service time divided by the slowdown of the target. */
-    Microseconds time{0};
-};
-
-/** The target chosen for a request. */
-struct TargetChoice
-{
-    GrantId grant;
-    RegisteredTarget target;
-    /** Upper bound on this host's connections to the target. */
-    Connections connections{1};
-    bool isCold = false;
-    /**
-     * For the log: requests in flight at the target before this one, as far as known to this host.
-     */
-    Slots inFlight{0};
-    /** For the log: expected time until the response. */
-    Milliseconds expectedTime{0};
-    /** For the log: age of the target's last slowdown report. */
-    Milliseconds slowdownAge{0};
-};
-
-/** The outcome of a request that waited in the queue. */
-struct PlacementDecision
-{
-    PlacementRequest request;
-    std::variant<TargetChoice, Refusal> outcome;
-};
-
-/** A probe that is to be sent now, to request the health and load of a target. */
-struct DueProbe
-{
-    TargetId id;
-    Address address;
-};
-
-/** Counters for metrics; they never decrease. */
-struct BalancerCounters
-{
-    /** Grants that this host decided or accepted. */
-    std::uint64_t chosen = 0;
-    /** Grants to cold targets that this host decided. */
-    std::uint64_t coldGrants = 0;
-    /** Refusals, except those of quarantined requests. */
-    std::uint64_t refusals = 0;
-    /** Retries that the retry budget allowed. */
-    std::uint64_t retries = 0;
-    std::uint64_t probes = 0;
-};
-
 /**
  * Places the requests for one service: selects a target for each request. A selected target is
  * recorded as a grant, which is in flight until the attempt has ended. Normally one host, the
@@ -268,73 +184,13 @@
     void adoptServiceTimes(const SharedServiceTimes &shared) { m_serviceTimes.adopt(shared); }
 
 private:
-    /**
-     * A placement in flight: an attempt for which a target was selected, until the attempt has
-     * ended.
-     */
-    struct Grant
-    {
-        AttemptId attempt;
-        /** The host that selected the target. */
-        HostId placedBy;
-        /** The host that sends the request. */
-        HostId sentBy;
-        TargetId target;
-        /** The target's process when it was selected. */
-        TargetProcess process;
-        std::int16_t route = -1;
-        RequestClass requestClass;
-        Fingerprint fingerprint;
-        /** Whether the target already had all of its usable slots in use. */
-        bool isOverfilled = false;
-        bool isCold = false;
-        /** Slowdown that the target had last reported when it was selected. */
-        double slowdown = 1;
-        ZoneId zone;
-        TimePoint grantedAt{};
-        TimePoint expiresAt{};
-    };
-    /** A target that could receive the request. */
-    struct Candidate
-    {
-        TargetState *target = nullptr;
-        /** Expected time until the response plus all penalties, in microseconds. */
-        double expectedTime = 0;
-        int inFlight = 0;
-        /** Fraction of the slots in use; above 1 if requests wait at the target. */
-        double utilization = 0;
-        /**
-         * Whether the target is in the requesting host's zone, or is treated as such because it is
-         * new and has not been used yet.
-         */
-        bool isZoneLocal = false;
-    };
-    /** What a request costs in addition at some targets, as time in microseconds. */
-    struct Penalties
-    {
-        double otherZone = 0;
-        double newConnection = 0;
-    };
-    /** The result of evaluating all targets for one request. */
-    struct Evaluation
-    {
-        std::vector<Candidate> candidates;
-        /** Requests per microsecond that all warm eligible targets can finish together. */
-        double completionRate = 0;
-        /**
-         * Shortest expected service time of the warm eligible targets, in microseconds; 0 if none.
-         */
-        double minServiceTime = 0;
-        /**
-         * Whether any target is eligible, available and, where that is required, healthy; free
-         * capacity is not required.
-         */
-        bool hasEligible = false;
-        /** Whether one of these targets has not been tried for the request. */
-        bool hasUntried = false;
-        /** Whether a target is closed to the requesting host. */
-        bool hasClosed = false;
-    };
+    using Grant = balancing_detail::Grant;
+    using Candidate = balancing_detail::Candidate;
+    using Penalties = balancing_detail::Penalties;
+    using Evaluation = balancing_detail::Evaluation;
+    using WaitingRequest = balancing_detail::WaitingRequest;
+    using Decision = balancing_detail::Decision;
+
     /** @return the cost of crossing zones and of a new connection, as time in microseconds */
     static double penalty(const PlacementRequest &request, const Penalties &penalties,
                           const TargetState &target);
@@ -350,21 +206,6 @@
          */
         LastResort,
     };
-    struct WaitingRequest
-    {
-        PlacementRequest request;
-        TimePoint arrivedAt;
-    };
-    /** Whether a request is sent, waits, or is refused. */
-    struct Decision
-    {
-        std::optional<Candidate> chosen;
-        /** Whether the request waits if no target is chosen. */
-        bool shouldWait = false;
-        /** Reason of the refusal if the request is neither sent nor waits. */
-        RefusalReason reason = RefusalReason::NoTarget;
-    };
-
     /**
      * @return whether the target may receive requests: the target is not draining, its zone is not
      *         evacuated, and its version has this role
