zones: one placing host for each large service and zone

Change: ZoneDivision (from the registry alone) gives each zone with 12 targets and 3 hosts a placing host of its own, which places at its own targets, probes them and collects their loads; smaller zones and services stay as they were, and so does a service during a rollout. RoomOfZones and RoomStatements: a zone without room passes requests on to the zone with most room.

--- a/include/endivedock/balancing/balancer_records.h
+++ b/include/endivedock/balancing/balancer_records.h
@@ -95,6 +95,8 @@
     bool shouldWait = false;
     /** Reason of the refusal if the request is neither sent nor waits. */
     RefusalReason reason = RefusalReason::NoTarget;
+    /** Whether no target was usable, so that @p chosen may be any target of any zone. */
+    bool isLastResort = false;
 };
 
 } // namespace endivedock::balancing_detail
--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -11,6 +11,7 @@
 #include "endivedock/routes.h"
 #include "endivedock/selection.h"
 #include "endivedock/servicetime.h"
+#include "endivedock/zones.h"
 
 #include <limits>
 #include <map>
@@ -36,7 +37,7 @@
 class ServiceBalancer
 {
 public:
-    using Outcome = std::variant<TargetChoice, Refusal>;
+    using Outcome = std::variant<TargetChoice, Refusal, OtherZone>;
 
     /**
      * @param self      id of this host
@@ -60,6 +61,16 @@
      * targets count as cold for the warm-up time, since this host has not observed them meanwhile.
      */
     void setEvacuatedZones(const std::set<ZoneId> &zones, TimePoint now);
+    /**
+     * Sets how the placement of the service is divided among zones. If it is, this host places
+     * requests only at the targets of its own placing zone, and passes requests for which that zone
+     * has no room on to another one.
+     */
+    void setDivision(const ZoneDivision &division);
+    const ZoneDivision &division() const { return m_division; }
+    void applyZoneRoom(const ZoneRoom &room, TimePoint now);
+    /** @return the room of this host's placing zone, for the other placing zones */
+    ZoneRoom zoneRoom(TimePoint now) const;
     VersionPolicy &versions() { return m_versions; }
     /** @param share  fraction of the requests for the new version of the running rollout */
     void setRolloutShare(Share share) { m_rolloutShare = share; }
@@ -90,7 +101,10 @@
     void cancel(const AttemptId &attempt);
     std::size_t waitingCount() const { return m_waiting.size(); }
 
-    /** Places a request of this host without the placing host (fallback mode). */
+    /**
+     * Places a request of this host without the placing host (fallback mode). In a divided service,
+     * it goes to another zone only if the own one has no usable target.
+     */
     Outcome placeAsFallback(const PlacementRequest &request, TimePoint now);
     /**
      * Records a placement that the placing host granted to this host.
@@ -284,6 +298,14 @@
      */
     Decision decide(const PlacementRequest &request, std::size_t requestsAhead, Duration waited,
                     TimePoint now);
+    /** @return whether this host places requests at the target; see setDivision() */
+    bool isPlacedHere(const TargetState &target) const;
+    /**
+     * @return the zone that takes a request for which the own zone has no room now or is much
+     *         slower; nothing if the request stays
+     */
+    std::optional<OtherZone> spill(const PlacementRequest &request, const Decision &decision,
+                                   TimePoint now);
     /** Checks the retry budget, and counts the attempt. */
     std::optional<Refusal> checkRetryBudget(const PlacementRequest &request, RetryBudget &budget,
                                             TimePoint now);
@@ -319,7 +341,8 @@
     /** Ends a grant without an outcome. */
     void revoke(GrantId id);
     void eraseGrant(std::map<GrantId, Grant>::iterator position);
-    /** Rebuilds m_targetList, m_targetsByHash and the counts of granted requests of all targets. */
+    /** Rebuilds m_targetList, m_ownTargets, m_targetsByHash and the counts of granted requests of
+     * all targets. */
     void indexTargets();
     TargetLoad loadOf(const TargetState &target, TargetHash hash, int inFlight,
                       TimePoint now) const;
@@ -337,6 +360,8 @@
     ServiceRules m_rules;
     std::size_t m_hostCount = 1;
     std::set<ZoneId> m_evacuatedZones;
+    ZoneDivision m_division;
+    RoomOfZones m_roomOfZones;
     VersionPolicy m_versions;
     Share m_rolloutShare{0};
     bool m_hasOldVersionOverflow = false;
@@ -345,6 +370,8 @@
     std::map<TargetId, TargetState> m_targets;
     /** The elements of m_targets, in their order and in that of their hashes. */
     std::vector<TargetState *> m_targetList;
+    /** The elements of m_targetList at which this host places requests. */
+    std::vector<TargetState *> m_ownTargets;
     std::vector<std::pair<TargetHash, TargetState *>> m_targetsByHash;
     DrainingTargets m_drainingTargets;
     std::map<GrantId, Grant> m_grants;
--- a/include/endivedock/balancing/target_choice.h
+++ b/include/endivedock/balancing/target_choice.h
@@ -32,7 +32,7 @@
 struct PlacementDecision
 {
     PlacementRequest request;
-    std::variant<TargetChoice, Refusal> outcome;
+    std::variant<TargetChoice, Refusal, OtherZone> outcome;
 };
 
 /** A probe that is to be sent now, to request the health and load of a target. */
@@ -54,6 +54,10 @@
     /** Retries that the retry budget allowed. */
     std::uint64_t retries = 0;
     std::uint64_t probes = 0;
+    /** Requests that this host, as the placing host of a zone, passed on to another zone. */
+    std::uint64_t spilled = 0;
+    /** Grants of this host to requests that other zones passed on. */
+    std::uint64_t takenIn = 0;
 };
 
 } // namespace endivedock
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -93,11 +93,13 @@
     , m_watchStore(m_executor, m_settings.store)
     , m_writeStore(m_executor, m_settings.store)
     , m_sealer({m_settings.peerKey})
-    , m_peers(m_executor, m_settings.peer, m_self,
+    , m_peers(
+              m_executor, m_settings.peer, m_self,
               Incarnation(static_cast<std::uint64_t>(unixTimeMilliseconds())), m_sealer,
               [this](const PeerHeader &header, EdgeMessage message, const Address &) {
                   handle(header, message);
-              })
+              },
+              m_settings.zone)
     , m_placement(m_executor, m_self, m_settings.balancing, m_random, m_metrics, m_peers)
     , m_streams(m_executor, m_settings.peer, m_self,
                 Incarnation(static_cast<std::uint64_t>(unixTimeMilliseconds())), m_sealer,
@@ -105,6 +107,7 @@
                     return respond(header.sender, message);
                 })
     , m_crashArchive(m_executor, m_self, m_writeStore, m_registry, m_peers, m_placement, m_random)
+    , m_zones(m_self, m_peers, m_placement)
     , m_rollouts(m_executor, m_self, m_writeStore, m_registry, m_peers, m_placement, m_aggregator)
     , m_prober(m_executor, &P::parseProbeResponse,
                [this](const ServiceId &service, const TargetId &target,
@@ -288,7 +291,7 @@
 template <EdgePlatform P>
 Task<> EdgeHost<P>::registerHost()
 {
-    const RegisteredHost host{m_self, m_settings.peer, m_settings.capacity};
+    const RegisteredHost host{m_self, m_settings.peer, m_settings.capacity, m_settings.zone};
     const StoreEntry entry = P::makeHostEntry(m_settings.name, host);
     const TimePoint registryDeadline = SteadyClock().now() + edge_detail::initialRegistryTimeout;
     // A restarted host finds its own entry in its first registry copy and need not write it.
@@ -329,6 +332,7 @@
     m_peers.setHosts(hosts, m_settings.capacity);
     m_readerSelector.setHosts(hosts, now);
     m_placement.applyRegistry(m_registry, m_peers.hostCount(), now);
+    m_zones.applyDivisions();
     m_crashArchive.applyRegistry(now);
     m_rollouts.applyOrders(now);
 }
@@ -351,6 +355,7 @@
         m_placement.tick(now);
         startProbes(now);
         shareCrashRecords(now);
+        m_zones.stateRooms(now);
         for (const auto &notice : m_placement.takeDrainingNotices(now))
             m_peers.broadcast(notice);
         if (now < nextReportAt)
@@ -445,6 +450,8 @@
         handleCrashRecords(header.sender, *records, now);
     } else if (const auto *draining = std::get_if<DrainingNotice>(&message)) {
         m_placement.handle(header.sender, *draining, now);
+    } else if (const auto *room = std::get_if<ZoneRoom>(&message)) {
+        m_zones.handle(*room, now);
     }
 }
 
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -10,6 +10,7 @@
 #include "endivedock/edge/shared_placement.h"
 #include "endivedock/edge/store_reader_selector.h"
 #include "endivedock/edge/target_prober.h"
+#include "endivedock/edge/zone_agent.h"
 #include "endivedock/loadreports.h"
 
 #include <map>
@@ -124,6 +125,7 @@
     bool m_hasRequestedCrashRecords = false;
     TimePoint m_nextCrashGossipAt{};
     CrashArchive<P> m_crashArchive;
+    ZoneAgent m_zones;
     RolloutAgent<P> m_rollouts;
     TargetProber m_prober;
     Gateway m_gateway;
--- a/include/endivedock/edge/edge_message.h
+++ b/include/endivedock/edge/edge_message.h
@@ -5,6 +5,7 @@
 #include "endivedock/peers.h"
 #include "endivedock/placement/messages.h"
 #include "endivedock/quarantine/messages.h"
+#include "endivedock/zones/messages.h"
 
 #include <string>
 #include <variant>
@@ -17,7 +18,7 @@
  */
 using EdgeMessage = std::variant<HostLoadReport, AggregatedLoad, RegistryNotice, RegistryRequest,
                                  RegistryDelta, PlacementRequest, PlacementAnswer, AttemptReport,
-                                 PlacementCancel, CrashRecords, DrainingNotice>;
+                                 PlacementCancel, CrashRecords, DrainingNotice, ZoneRoom>;
 
 /** Encodes messages between edge hosts in cereal's portable binary format. */
 struct EdgeCodec
--- a/include/endivedock/edge/edge_peers.h
+++ b/include/endivedock/edge/edge_peers.h
@@ -5,6 +5,7 @@
 #include "endivedock/loadreports.h"
 #include "endivedock/peers.h"
 #include "endivedock/telemetry.h"
+#include "endivedock/zones.h"
 
 #include <map>
 #include <optional>
@@ -22,9 +23,10 @@
 
     /** @throws boost::system::system_error if @p local cannot be bound */
     EdgePeers(asio::any_io_executor executor, const Address &local, HostId self,
-              Incarnation incarnation, Sealer &sealer, Handler handler)
+              Incarnation incarnation, Sealer &sealer, Handler handler, ZoneId zone = ZoneId())
         : m_datagrams(std::move(executor), local, self, incarnation, sealer, std::move(handler))
         , m_self(self)
+        , m_zone(std::move(zone))
         , m_placingHostSelector(self)
     {
     }
@@ -43,8 +45,17 @@
     /** @return the peer address of the host, or nothing if the host is not known */
     std::optional<Address> address(HostId host) const;
 
+    const ZoneId &zone() const { return m_zone; }
+    /**
+     * Sets how the placement of a service is divided among zones.
+     *
+     * @return whether the division has changed
+     */
+    bool setDivision(const ServiceId &service, const ZoneDivision &division);
+
     // Required by PlacementPeers.
     HostId placingHost(const ServiceId &service, TimePoint now) const;
+    HostId placingHost(const ServiceId &service, const ZoneId &placingZone, TimePoint now) const;
     void recordTimeout(HostId host, TimePoint now);
     void send(HostId host, const EdgeMessage &message);
 
@@ -73,6 +84,9 @@
 
     DatagramTransport<EdgeCodec> m_datagrams;
     HostId m_self;
+    /** Zone of this host. */
+    ZoneId m_zone;
+    std::map<ServiceId, ZoneDivision> m_divisions;
     PlacingHostSelector m_placingHostSelector;
     std::map<HostId, Address> m_addresses;
     Log m_log{"peers"};
--- a/include/endivedock/edge/registry.h
+++ b/include/endivedock/edge/registry.h
@@ -26,6 +26,8 @@
     Address peer;
     /** Processor share in cores, by which placing hosts and readers of the store are selected. */
     double capacity = 0;
+    /** Empty for a host that has not stated it. */
+    ZoneId zone{};
 };
 
 struct ConfigurationRecord
--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -45,11 +45,24 @@
         answer.outcome = *refusal;
         return answer;
     }
+    if (const auto *other = std::get_if<OtherZone>(&outcome)) {
+        answer.outcome = *other;
+        return answer;
+    }
     const auto &choice = std::get<TargetChoice>(outcome);
     answer.outcome = Placement{choice.grant, choice.target.id, !choice.isCold};
     return answer;
 }
 
+/** @return the outcome of a fallback placement as one of asking a placing host */
+inline std::variant<PlacedTarget, Refusal, OtherZone>
+asAsked(std::variant<PlacedTarget, Refusal> outcome)
+{
+    if (auto *placed = std::get_if<PlacedTarget>(&outcome))
+        return std::move(*placed);
+    return std::move(std::get<Refusal>(outcome));
+}
+
 } // namespace placement_detail
 
 /** Registers a pending request for as long as its task waits. */
@@ -81,7 +94,7 @@
         co_return Refusal{RefusalReason::NoTarget, RunCertainty::NotRun};
     request.zone = m_settings.zone;
     const TimePoint now = SteadyClock().now();
-    const HostId placingHost = m_peers.placingHost(request.service, now);
+    const HostId placingHost = firstPlacingHost(request, *balancer, now);
     // This host may know of a crash of which the placing host does not know yet.
     if (placingHost != m_self && !m_suspects.tryAdmit(request.fingerprint, now)) {
         const Refusal refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
@@ -93,6 +106,50 @@
         logRefusal(request, *refusal);
         co_return std::move(*refusal);
     }
+    AskedOutcome outcome = co_await ask(placingHost, request, deadline);
+    if (const auto *other = std::get_if<OtherZone>(&outcome)) {
+        const TimePoint askedAt = SteadyClock().now();
+        const HostId otherHost = m_peers.placingHost(request.service, other->zone, askedAt);
+        logSpill(request, *other, otherHost);
+        request.isSpilled = true;
+        request.remaining = toMilliseconds(deadline - askedAt);
+        outcome = co_await ask(otherHost, request, deadline);
+    }
+    if (auto *placed = std::get_if<PlacedTarget>(&outcome))
+        co_return std::move(*placed);
+    if (auto *refusal = std::get_if<Refusal>(&outcome))
+        co_return std::move(*refusal);
+    co_return placeAsFallback(request);
+}
+
+template <PlacementPeers Peers>
+HostId SharedPlacement<Peers>::firstPlacingHost(const PlacementRequest &request,
+                                                const ServiceBalancer &balancer, TimePoint now)
+{
+    // The trials of a request that crashes targets are counted by one host for all zones.
+    if (balancer.division().isDivided() && m_suspects.isQuarantined(request.fingerprint, now))
+        return m_peers.placingHost(request.service, balancer.division().leadingZone(), now);
+    return m_peers.placingHost(request.service, now);
+}
+
+template <PlacementPeers Peers>
+void SharedPlacement<Peers>::logSpill(const PlacementRequest &request, const OtherZone &other,
+                                      HostId placingHost)
+{
+    m_metrics.count("endivedock_requests_spilled_total",
+                    {{"service", request.service.value()}, {"to", other.zone.value()}});
+    m_log.info("Request passed on to another zone",
+               {field("id", request.attempt.request), field("service", request.service),
+                field("from", m_settings.zone), field("to", other.zone), field("by", placingHost),
+                field("why", other.isSlower ? "targets-slower" : "no-room")});
+}
+
+template <PlacementPeers Peers>
+Task<typename SharedPlacement<Peers>::AskedOutcome>
+SharedPlacement<Peers>::ask(HostId placingHost, PlacementRequest request, TimePoint deadline)
+{
+    ServiceBalancer *balancer = find(request.service);
+    const TimePoint now = SteadyClock().now();
     Pending pending(m_executor);
     pending.placingHost = placingHost;
     pending.service = request.service;
@@ -103,6 +160,8 @@
             logRefusal(request, *outcome);
             if (const auto *choice = std::get_if<TargetChoice>(&*outcome))
                 co_return makePlacedTarget(request, *choice, m_self);
+            if (const auto *other = std::get_if<OtherZone>(&*outcome))
+                co_return *other;
             co_return std::get<Refusal>(*outcome);
         }
         answer = co_await pending.answer.wait(deadline);
@@ -121,7 +180,7 @@
         co_return applyAnswer(request, placingHost, *answer);
     if (request.remaining <= Milliseconds(0))
         co_return Refusal{RefusalReason::DeadlineExceeded, RunCertainty::NotRun};
-    co_return placeAsFallback(request);
+    co_return placement_detail::asAsked(placeAsFallback(request));
 }
 
 template <PlacementPeers Peers>
@@ -173,29 +232,31 @@
 }
 
 template <PlacementPeers Peers>
-std::variant<PlacedTarget, Refusal>
+typename SharedPlacement<Peers>::AskedOutcome
 SharedPlacement<Peers>::applyAnswer(const PlacementRequest &request, HostId placedBy,
                                     const PlacementAnswer &answer)
 {
     if (const auto *refusal = std::get_if<Refusal>(&answer.outcome))
         return *refusal;
+    if (const auto *other = std::get_if<OtherZone>(&answer.outcome))
+        return *other;
     const auto *placement = std::get_if<Placement>(&answer.outcome);
     if (placement == nullptr)
-        return placeAsFallback(request);
+        return placement_detail::asAsked(placeAsFallback(request));
     ServiceBalancer *balancer = find(request.service);
     if (placedBy == m_self) {
         // The balancer already counted this grant when it chose the target.
         const auto choice = balancer->find(placement->grant);
         if (choice)
             return makePlacedTarget(request, *choice, m_self);
-        return placeAsFallback(request);
+        return placement_detail::asAsked(placeAsFallback(request));
     }
     const auto choice =
             balancer->acceptPlacement(request, *placement, placedBy, SteadyClock().now());
     if (choice)
         return makePlacedTarget(request, *choice, placedBy);
     refuseChoice(request, *placement, placedBy);
-    return placeAsFallback(request);
+    return placement_detail::asAsked(placeAsFallback(request));
 }
 
 template <PlacementPeers Peers>
@@ -222,12 +283,16 @@
 {
     m_log.info("Target chosen",
                {field("id", request.attempt.request), field("service", request.service),
-                field("target", choice.target.id), field("attempt", int(request.attempt.number)),
+                field("target", choice.target.id), field("zone", choice.target.zone),
+                field("spilled", request.isSpilled), field("attempt", int(request.attempt.number)),
                 field("by", placedBy), field("in_flight", choice.inFlight.value()),
                 field("slots", choice.target.slots.value()),
                 field("expected_ms", choice.expectedTime.count()),
                 field("load_age_ms", choice.slowdownAge.count()), field("cold", choice.isCold),
                 field("left_ms", request.remaining.count())});
+    const bool isOwnZone = choice.target.zone == m_settings.zone;
+    m_metrics.count("endivedock_placements_by_zone_total",
+                    {{"service", request.service.value()}, {"zone", isOwnZone ? "own" : "other"}});
     PlacedTarget target;
     target.placement = {choice.grant, choice.target.id, !choice.isCold};
     target.address = choice.target.address;
@@ -519,6 +584,9 @@
         balancer->versions().setStatus(registry.rolloutStatus(service));
         balancer->setTargets(registry.targetsOf(service), now);
         balancer->setEvacuatedZones(evacuatedZones, now);
+        // One host decides on a rollout, so that the new version gets no more than its share.
+        const bool isRollingOut = balancer->versions().running().has_value();
+        balancer->setDivision(isRollingOut ? ZoneDivision() : divisionOf(registry, service));
     }
 }
 
--- a/include/endivedock/edge/shared_placement.h
+++ b/include/endivedock/edge/shared_placement.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/balancing.h"
 #include "endivedock/edge/registry.h"
+#include "endivedock/edge/service_division.h"
 #include "endivedock/edge/target_prober.h"
 #include "endivedock/gateway.h"
 
@@ -16,13 +17,17 @@
 /** The other hosts: selects the placing host of a service and sends messages to other hosts. */
 template <typename P>
 concept PlacementPeers =
-        requires(P peers, const ServiceId &service, HostId host, TimePoint now,
+        requires(P peers, const ServiceId &service, const ZoneId &zone, HostId host, TimePoint now,
                  PlacementRequest request, PlacementAnswer answer, AttemptReport report,
                  PlacementCancel cancel, DrainingNotice notice) {
             /** @return the placing host in the view of this host, which may be this host */
             {
                 peers.placingHost(service, now)
             } -> std::same_as<HostId>;
+            /** @return the placing host of one zone of a divided service; see ZoneDivision */
+            {
+                peers.placingHost(service, zone, now)
+            } -> std::same_as<HostId>;
             /** Records that the host did not answer in time. */
             {
                 peers.recordTimeout(host, now)
@@ -126,11 +131,19 @@
     };
     class PendingScope;
 
+    using AskedOutcome = std::variant<PlacedTarget, Refusal, OtherZone>;
+
+    /** @return the host to ask for a target of the request first */
+    HostId firstPlacingHost(const PlacementRequest &request, const ServiceBalancer &balancer,
+                            TimePoint now);
+    /** Requests a target from one placing host, which may be this one. */
+    Task<AskedOutcome> ask(HostId placingHost, PlacementRequest request, TimePoint deadline);
+    void logSpill(const PlacementRequest &request, const OtherZone &other, HostId placingHost);
     Task<std::optional<PlacementAnswer>> requestPlacement(PlacementRequest request,
                                                           Pending &pending, TimePoint deadline);
     std::variant<PlacedTarget, Refusal> placeAsFallback(const PlacementRequest &request);
-    std::variant<PlacedTarget, Refusal> applyAnswer(const PlacementRequest &request,
-                                                    HostId placedBy, const PlacementAnswer &answer);
+    AskedOutcome applyAnswer(const PlacementRequest &request, HostId placedBy,
+                             const PlacementAnswer &answer);
     PlacedTarget makePlacedTarget(const PlacementRequest &request, const TargetChoice &choice,
                                   HostId placedBy);
     void logPause(const AttemptReport &report);
--- a/include/endivedock/loadreports/placing_host_selector.h
+++ b/include/endivedock/loadreports/placing_host_selector.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace endivedock {
@@ -28,10 +29,18 @@
      * @param hosts  all known hosts except this one
      * @param preferred  the hosts, which may include this one, that are to place requests while
      *                   they respond; this host always counts as responsive and is the last resort
+     * @param zones  zones of the hosts, this one included, as far as they are known
      */
-    void setHosts(const std::vector<HostId> &hosts, const std::set<HostId> &preferred);
+    void setHosts(const std::vector<HostId> &hosts, const std::set<HostId> &preferred,
+                  const std::map<HostId, ZoneId> &zones = {});
     /** @return the placing host of the service in the view of this host */
-    HostId placingHostFor(const ServiceId &service, TimePoint now) const;
+    HostId placingHostFor(const ServiceId &service, TimePoint now) const
+    {
+        return placingHostFor(service, ZoneId(), now);
+    }
+    /** @return the host that places in @p zone, which is in that zone while a host there responds
+     */
+    HostId placingHostFor(const ServiceId &service, const ZoneId &zone, TimePoint now) const;
     /** Records that a request was sent to a host, so that a response is due. */
     void recordRequest(HostId host, TimePoint now);
     /** Records a response, after which the host is no longer skipped. */
@@ -69,13 +78,14 @@
     bool isUnresponsive(HostId host, TimePoint now) const;
 
     /** @return all hosts in the order in which they are to place requests of the service */
-    std::vector<HostId> rankHosts(const ServiceId &service) const;
+    std::vector<HostId> rankHosts(const ServiceId &service, const ZoneId &zone) const;
 
     HostId m_self;
     std::vector<HostId> m_hosts;
     std::set<HostId> m_preferred;
+    std::map<HostId, ZoneId> m_zones;
     /** Results of rankHosts() since the last call of setHosts(). */
-    mutable std::map<ServiceId, std::vector<HostId>> m_rankings;
+    mutable std::map<std::pair<ServiceId, ZoneId>, std::vector<HostId>> m_rankings;
     std::map<HostId, Contact> m_contacts;
 };
 
--- a/include/endivedock/placement/codec.h
+++ b/include/endivedock/placement/codec.h
@@ -19,7 +19,7 @@
             request.requestClass, request.priority, request.isRetry, request.remaining,
             request.fingerprint, request.excludedTargets, request.closedTargets,
             request.latencyObjective, request.zone, request.body, request.connectedTargets,
-            request.team);
+            request.team, request.isSpilled);
 }
 
 template <typename Archive>
@@ -38,6 +38,12 @@
 {
 }
 
+template <typename Archive>
+void serialize(Archive &archive, OtherZone &other)
+{
+    archive(other.zone, other.isSlower);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, PlacementAnswer &answer)
 {
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -55,6 +55,11 @@
     Milliseconds latencyObjective{0};
     /** Zone of the requesting host; empty if the zone must not influence the choice. */
     ZoneId zone;
+    /**
+     * Whether the request comes from a zone without room for it. The placing host of that zone has
+     * counted and admitted it, and the zone that gets it does not pass it on again.
+     */
+    bool isSpilled = false;
     /** Size of the request body, or the bytes read so far if the size is unknown. */
     Bytes body{0};
     /** Hashes of the target addresses to which the requesting host has an idle connection. */
@@ -88,13 +93,24 @@
 {
 };
 
+/**
+ * The zone of the placing host has no room for the request; the requesting host is to ask the
+ * placing host of another zone.
+ */
+struct OtherZone
+{
+    ZoneId zone;
+    /** Whether the own zone has room, but its targets are much slower. */
+    bool isSlower = false;
+};
+
 /** Answer to a PlacementRequest: a grant, a refusal, or the request's state. */
 struct PlacementAnswer
 {
     AttemptId attempt;
     ServiceId service;
     std::uint8_t transmissionNumber = 0;
-    std::variant<Placement, Refusal, PlacementQueued, NotPlacingHost> outcome;
+    std::variant<Placement, Refusal, PlacementQueued, NotPlacingHost, OtherZone> outcome;
 };
 
 /** Withdraws a placement request, and a grant that was made for it. */
--- a/src/balancing/balancer_choice.cpp
+++ b/src/balancing/balancer_choice.cpp
@@ -90,11 +90,11 @@
 bool ServiceBalancer::mayExcludeUnhealthy(TimePoint now) const
 {
     const auto ejected = std::count_if(
-            m_targetList.begin(), m_targetList.end(), [now](const TargetState *target) {
+            m_ownTargets.begin(), m_ownTargets.end(), [now](const TargetState *target) {
                 return target->health().state(now) == HealthState::Ejected;
             });
     return static_cast<double>(ejected) <=
-           static_cast<double>(m_targetList.size()) * maxEjectedShare;
+           static_cast<double>(m_ownTargets.size()) * maxEjectedShare;
 }
 
 bool ServiceBalancer::looksHealthy(const TargetState &target, TimePoint now) const
@@ -172,8 +172,10 @@
     const auto meanTime = static_cast<double>(m_serviceTimes.mean().count());
     const bool excludesUnhealthy = mode != PlacementMode::LastResort && mayExcludeUnhealthy(now);
     const Penalties penalties = penaltiesFor(request);
-    result.candidates.reserve(m_targetList.size());
-    for (TargetState *const position : m_targetList) {
+    // As a last resort, a host uses the targets of all zones.
+    const auto &targets = mode == PlacementMode::LastResort ? m_targetList : m_ownTargets;
+    result.candidates.reserve(targets.size());
+    for (TargetState *const position : targets) {
         TargetState &target = *position;
         if (!isEligible(target, role) || target.isUnavailable(now))
             continue;
@@ -200,7 +202,8 @@
                                             ? serviceTime
                                             : std::min(result.minServiceTime, serviceTime);
         }
-        if (isCold && !target.hasColdAllowance(now))
+        // Only the placing host of a cold target's zone knows the rate at which it gets requests.
+        if (isCold && (!target.hasColdAllowance(now) || !isPlacedHere(target)))
             continue;
         if (mode == PlacementMode::Central && inFlight >= usable)
             continue;
@@ -356,7 +359,7 @@
     if (!evaluated.hasEligible) {
         evaluated = evaluateTargets(request, role, PlacementMode::LastResort, now);
         const auto chosen = pickFrom(evaluated.candidates);
-        return {chosen, false, RefusalReason::NoTarget};
+        return {chosen, false, RefusalReason::NoTarget, true};
     }
     // A request does not wait for a target that is closed to its host.
     if (evaluated.hasClosed && !evaluated.hasUntried)
--- a/src/balancing/balancer_load_reports.cpp
+++ b/src/balancing/balancer_load_reports.cpp
@@ -37,6 +37,8 @@
     std::vector<DueProbe> result;
     std::vector<std::pair<TimePoint, TargetState *>> staleLoads;
     const bool isActive = isPlacingHost && now - m_lastPlacementAt < activeServiceWindow;
+    const double loadProbeRate =
+            m_settings.loadProbeRate.value() / static_cast<double>(m_division.placingZoneCount());
     for (auto &[id, target] : m_targets) {
         const RegisteredTarget &entry = target.registered();
         if (m_suspects.needsVerification(id, now)) {
@@ -49,8 +51,9 @@
         // A probe shows whether an unreachable target is reachable again, and how long a cold
         // target stays cold. Only the placing host probes cold targets; otherwise, all hosts would
         // connect to a new target at the same time.
+        const bool isPlacedHereNow = isPlacingHost && isPlacedHere(target);
         const bool needsHealthProbe =
-                target.isUnreachable() || (isPlacingHost && target.isCold(now));
+                target.isUnreachable() || (isPlacedHereNow && target.isCold(now));
         const Milliseconds interval =
                 target.isUnreachable() ? m_settings.probeInterval : m_settings.probeInterval * 4;
         if (needsHealthProbe && target.tryStartProbe(now, interval)) {
@@ -58,15 +61,14 @@
             continue;
         }
         const TimePoint reportedAt = target.slowdown().at;
-        if (isActive && !target.isUnreachable() &&
+        if (isActive && isPlacedHereNow && !target.isUnreachable() &&
             now - reportedAt > m_settings.maxSlowdownReportAge)
             staleLoads.emplace_back(reportedAt, &target);
     }
     const std::chrono::duration<double> elapsed = now - m_loadProbeTokensAt;
     m_loadProbeTokensAt = now;
-    const double maxTokens = m_settings.loadProbeRate.value() * maxTokenSeconds;
-    m_loadProbeTokens = std::min(
-            maxTokens, m_loadProbeTokens + elapsed.count() * m_settings.loadProbeRate.value());
+    const double maxTokens = loadProbeRate * maxTokenSeconds;
+    m_loadProbeTokens = std::min(maxTokens, m_loadProbeTokens + elapsed.count() * loadProbeRate);
     std::sort(staleLoads.begin(), staleLoads.end());
     for (const auto &[reportedAt, target] : staleLoads) {
         if (m_loadProbeTokens < 1)
@@ -116,7 +118,7 @@
     std::vector<TargetLoad> result;
     for (const auto &[id, count] : inFlightByTarget) {
         const auto target = m_targets.find(id);
-        if (target != m_targets.end())
+        if (target != m_targets.end() && isPlacedHere(target->second))
             result.push_back(
                     loadOf(target->second, hashTarget(target->second.registered()), count, now));
     }
@@ -154,7 +156,7 @@
         if (const auto excluded = excludedCounts.find(target); excluded != excludedCounts.end())
             count -= excluded->second;
         const TargetLoad entry = loadOf(*target, hash, count, now);
-        if (entry.inFlight > 0 || entry.slowdown > 0)
+        if ((entry.inFlight > 0 || entry.slowdown > 0) && isPlacedHere(*target))
             result.push_back(entry);
     }
     return result;
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -87,9 +87,12 @@
 void ServiceBalancer::indexTargets()
 {
     m_targetList.clear();
+    m_ownTargets.clear();
     m_targetsByHash.clear();
     for (auto &[id, target] : m_targets) {
         m_targetList.push_back(&target);
+        if (isPlacedHere(target))
+            m_ownTargets.push_back(&target);
         m_targetsByHash.emplace_back(hashTarget(target.registered()), &target);
         target.setPlacedInFlight(0);
     }
@@ -173,14 +176,19 @@
     }
     refreshBaseline(now);
     m_lastPlacementAt = now;
-    if (!m_suspects.tryAdmit(request.fingerprint, now))
-        return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
-    if (auto refusal = checkRetryBudget(request, m_retryBudget, now))
-        return *refusal;
+    // The placing host of the zone that passed the request on has admitted and counted it.
+    if (!request.isSpilled) {
+        if (!m_suspects.tryAdmit(request.fingerprint, now))
+            return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
+        if (auto refusal = checkRetryBudget(request, m_retryBudget, now))
+            return *refusal;
+    }
     const FairQueueKey key{request.priority, request.team,
                            m_serviceTimes.expected(request.requestClass)};
     const std::size_t requestsAhead = m_waiting.countAhead(key);
     const Decision decision = decide(request, requestsAhead, Duration::zero(), now);
+    if (auto other = spill(request, decision, now))
+        return std::move(*other);
     if (decision.chosen && m_waiting.empty()) {
         m_waiting.charge(key);
         return grant(request, *decision.chosen, PlacementMode::Central, now);
@@ -221,6 +229,11 @@
         PlacementRequest request = waiting.request;
         const Duration waited = now - waiting.arrivedAt;
         const Decision decision = decide(request, requestsAhead, waited, now);
+        if (auto other = spill(request, decision, now)) {
+            m_tickets.erase(request.attempt);
+            result.push_back({std::move(request), std::move(*other)});
+            return true;
+        }
         if (!decision.chosen) {
             ++requestsAhead;
             return false;
@@ -336,6 +349,8 @@
         chosen.target->consumeColdAllowance(now, coldRequestInterval(mode));
         ++m_counters.coldGrants;
     }
+    if (request.isSpilled)
+        ++m_counters.takenIn;
     return recordGrant(request, GrantId(m_random() | 1), m_self, chosen, now);
 }
 
--- a/src/edge/edge_message.cpp
+++ b/src/edge/edge_message.cpp
@@ -6,6 +6,7 @@
 #include "endivedock/placement/codec.h"
 #include "endivedock/quarantine/codec.h"
 #include "endivedock/selection/codec.h"
+#include "endivedock/zones/codec.h"
 
 namespace endivedock {
 
--- a/src/edge/edge_peers.cpp
+++ b/src/edge/edge_peers.cpp
@@ -24,17 +24,19 @@
     for (const auto &host : hosts)
         maxCapacity = std::max(maxCapacity, host.capacity);
     std::set<HostId> preferred;
+    std::map<HostId, ZoneId> zones{{m_self, m_zone}};
     if (capacity >= maxCapacity * preferredCapacityRatio)
         preferred.insert(m_self);
     for (const auto &host : hosts) {
         if (host.id == m_self)
             continue;
         m_addresses[host.id] = host.peer;
+        zones[host.id] = host.zone;
         ids.push_back(host.id);
         if (host.capacity >= maxCapacity * preferredCapacityRatio)
             preferred.insert(host.id);
     }
-    m_placingHostSelector.setHosts(ids, preferred);
+    m_placingHostSelector.setHosts(ids, preferred, zones);
 }
 
 void EdgePeers::broadcast(const EdgeMessage &message)
@@ -65,9 +67,26 @@
     return found == m_addresses.end() ? std::nullopt : std::optional(found->second);
 }
 
+bool EdgePeers::setDivision(const ServiceId &service, const ZoneDivision &division)
+{
+    ZoneDivision &current = m_divisions[service];
+    if (current == division)
+        return false;
+    current = division;
+    return true;
+}
+
 HostId EdgePeers::placingHost(const ServiceId &service, TimePoint now) const
 {
-    return m_placingHostSelector.placingHostFor(service, now);
+    const auto found = m_divisions.find(service);
+    const ZoneId zone = found == m_divisions.end() ? ZoneId() : found->second.placingZone(m_zone);
+    return placingHost(service, zone, now);
+}
+
+HostId EdgePeers::placingHost(const ServiceId &service, const ZoneId &placingZone,
+                              TimePoint now) const
+{
+    return m_placingHostSelector.placingHostFor(service, placingZone, now);
 }
 
 void EdgePeers::recordTimeout(HostId host, TimePoint now)
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -433,6 +433,10 @@
     struct UnresponsivePeers
     {
         HostId placingHost(const ServiceId &, TimePoint) const { return currentPlacingHost; }
+        HostId placingHost(const ServiceId &, const ZoneId &, TimePoint) const
+        {
+            return currentPlacingHost;
+        }
         void recordTimeout(HostId, TimePoint)
         {
             ++timeoutCount;
