--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -12,6 +12,7 @@
 #include "endivedock/edge/store_restorer.h"
 #include "endivedock/edge/target_prober.h"
 #include "endivedock/edge/usage_agent.h"
+#include "endivedock/edge/zone_agent.h"
 #include "endivedock/loadreports.h"
 
 #include <map>
@@ -129,6 +130,7 @@
     bool m_hasRequestedCrashRecords = false;
     TimePoint m_nextCrashGossipAt{};
     CrashArchive<P> m_crashArchive;
+    ZoneAgent m_zones;
     RolloutAgent<P> m_rollouts;
     StoreRestorer<P> m_restorer;
     /** Absent if usage is not reported. */
--- a/include/endivedock/edge/edge_message.h
+++ b/include/endivedock/edge/edge_message.h
@@ -6,6 +6,7 @@
 #include "endivedock/placement/messages.h"
 #include "endivedock/quarantine/messages.h"
 #include "endivedock/usage/messages.h"
+#include "endivedock/zones/messages.h"
 
 #include <string>
 #include <variant>
@@ -18,7 +19,8 @@
  */
 using EdgeMessage = std::variant<HostLoadReport, AggregatedLoad, RegistryNotice, RegistryRequest,
                                  RegistryDelta, PlacementRequest, PlacementAnswer, AttemptReport,
-                                 PlacementCancel, CrashRecords, DrainingNotice, UsageCounts>;
+                                 PlacementCancel, CrashRecords, DrainingNotice, UsageCounts,
+                                 ZoneRoom>;
 
 /** Encodes messages between edge hosts in cereal's portable binary format. */
 struct EdgeCodec
--- a/src/edge/edge_message.cpp
+++ b/src/edge/edge_message.cpp
@@ -7,6 +7,7 @@
 #include "endivedock/quarantine/codec.h"
 #include "endivedock/selection/codec.h"
 #include "endivedock/usage/codec.h"
+#include "endivedock/zones/codec.h"
 
 namespace endivedock {
 
