--- a/include/endivedock/limits/retry_budget.h
+++ b/include/endivedock/limits/retry_budget.h
@@ -29,6 +29,8 @@
     void recordFirstAttempt(TimePoint now);
     /** @return whether a retry is within the budget; if so, the retry is counted */
     bool tryRetry(TimePoint now);
+    /** @return share of the retries allowed now that have been made; 1 if none are allowed */
+    Share usedShare(TimePoint now) const;
 
 private:
     /** Counts of one slice of the window. */
@@ -44,7 +46,15 @@
     };
     static constexpr std::size_t sliceCount = 10;
 
+    /** Counts of the whole window. */
+    struct WindowCounts
+    {
+        std::uint64_t retries = 0;
+        std::uint64_t allowed = 0;
+    };
+
     WindowSlice &sliceAt(TimePoint now);
+    WindowCounts countWindow(TimePoint now) const;
 
     Share m_ratio;
     std::optional<double> m_extraRetries;
--- a/include/endivedock/selection/target_health.h
+++ b/include/endivedock/selection/target_health.h
@@ -72,6 +72,9 @@
     bool recordResponse(TimePoint now, Microseconds time, bool failed,
                         const ServiceBaseline &baseline);
 
+    /** Records that an attempt without a response took at least @p time, as a slow one does. */
+    void recordMinimumTime(Microseconds time);
+
     /** @return whether the target may receive requests at @p now; see HealthState */
     HealthState state(TimePoint now) const;
     /** @return the smoothed time of successful responses; zero before the first one */
--- a/src/limits/retry_budget.cpp
+++ b/src/limits/retry_budget.cpp
@@ -29,25 +29,38 @@
     ++sliceAt(now).firstAttempts;
 }
 
-bool RetryBudget::tryRetry(TimePoint now)
+RetryBudget::WindowCounts RetryBudget::countWindow(TimePoint now) const
 {
-    WindowSlice &current = sliceAt(now);
-    const std::int64_t oldest = current.period - static_cast<std::int64_t>(sliceCount) + 1;
+    const std::int64_t oldest = periodOf(now) - static_cast<std::int64_t>(sliceCount) + 1;
     std::uint64_t firstAttempts = 0;
-    std::uint64_t retries = 0;
+    WindowCounts result;
     for (const auto &slice : m_slices) {
         if (slice.period < oldest)
             continue;
         firstAttempts += slice.firstAttempts;
-        retries += slice.retries;
+        result.retries += slice.retries;
     }
     const double ratioRetries = static_cast<double>(firstAttempts) * m_ratio.value();
-    const auto allowed = static_cast<std::uint64_t>(ratioRetries + m_extraRetries.value_or(0));
+    result.allowed = static_cast<std::uint64_t>(ratioRetries + m_extraRetries.value_or(0));
+    return result;
+}
+
+bool RetryBudget::tryRetry(TimePoint now)
+{
+    const auto [retries, allowed] = countWindow(now);
     const bool isWithinMinimum = !m_extraRetries && m_ratio.value() > 0 && retries < minRetries;
     if (retries >= allowed && !isWithinMinimum)
         return false;
-    ++current.retries;
+    ++sliceAt(now).retries;
     return true;
 }
 
+Share RetryBudget::usedShare(TimePoint now) const
+{
+    const auto [retries, allowed] = countWindow(now);
+    if (retries >= allowed)
+        return Share(1);
+    return Share(static_cast<double>(retries) / static_cast<double>(allowed));
+}
+
 } // namespace endivedock
--- a/src/selection/target_health.cpp
+++ b/src/selection/target_health.cpp
@@ -66,6 +66,11 @@
     return false;
 }
 
+void TargetHealth::recordMinimumTime(Microseconds time)
+{
+    m_meanTime = std::max(m_meanTime, smooth(m_meanTime, time, m_settings.smoothingFactor));
+}
+
 void TargetHealth::eject(TimePoint now)
 {
     const auto time = m_settings.baseEjectionTime *
