gateway, placement: slow requests that may be repeated get a second run

Change: a grant says when to ask for a hedge. The receiving host then runs two attempts in tasks of their own (AttemptRace); the first complete response, or the first one of which a part is sent, wins, and the other attempt's connection is closed. The placing host refuses a hedge rather than queueing it: when requests wait or targets are nearly full, for suspects, for a first target that has sent nothing since, at cold or full targets, in a rollout, beyond the share or half of the retry budget. There is none in fallback. A cancelled attempt is reported as overtaken: a lower bound of its target's time, neither an answer nor a failure nor a lost attempt. hedging_share in the settings, hedgingShare in templates. Conclusion: kept, on by a quarter of the retry budget's ratio where the settings hold one.

--- a/include/endivedock/balancing/balancing_settings.h
+++ b/include/endivedock/balancing/balancing_settings.h
@@ -26,6 +26,11 @@
      * together; each host may grant an equal part.
      */
     double fallbackExtraRetries = 16;
+    /**
+     * Upper bound on hedges, as a fraction of first attempts; they count as retries besides. Zero
+     * for none.
+     */
+    Share hedgingShare{0};
     /**
      * Fraction of ServiceRules::warmupRate at which the placing host sends requests to a cold
      * target.
--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -3,6 +3,7 @@
 #include "endivedock/balancing/target_state.h"
 #include "endivedock/balancing/version_policy.h"
 #include "endivedock/fairness.h"
+#include "endivedock/hedging.h"
 #include "endivedock/limits.h"
 #include "endivedock/quarantine.h"
 #include "endivedock/routes.h"
@@ -14,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -76,6 +78,8 @@
     Milliseconds expectedTime{0};
     /** For the log: age of the target's last slowdown report. */
     Milliseconds slowdownAge{0};
+    /** See Placement::hedgeAfter. */
+    Milliseconds hedgeAfter{0};
 };
 
 /** The outcome of a request that waited in the queue. */
@@ -103,6 +107,8 @@
     std::uint64_t refusals = 0;
     /** Retries that the retry budget allowed. */
     std::uint64_t retries = 0;
+    /** Hedges that this host granted. */
+    std::uint64_t hedges = 0;
     std::uint64_t probes = 0;
 };
 
@@ -261,6 +267,11 @@
     std::vector<RolloutSample> takeRolloutSamples();
 
     const BalancerCounters &counters() const { return m_counters; }
+    /** @return why place() has refused a hedge, if it has since the last call */
+    std::optional<HedgeRefusal> takeHedgeRefusal()
+    {
+        return std::exchange(m_hedgeRefusal, std::nullopt);
+    }
     std::size_t targetCount() const { return m_targets.size(); }
     /** @return the service times of targets that are idle and not slowed down */
     const ServiceTimes &serviceTimes() const { return m_serviceTimes; }
@@ -288,6 +299,9 @@
         /** Whether the target already had all of its usable slots in use. */
         bool isOverfilled = false;
         bool isCold = false;
+        bool isHedge = false;
+        /** See Placement::hedgeAfter. */
+        Milliseconds hedgeAfter{0};
         /** Slowdown that the target had last reported when it was selected. */
         double slowdown = 1;
         ZoneId zone;
@@ -443,6 +457,17 @@
      */
     Decision decide(const PlacementRequest &request, std::size_t requestsAhead, Duration waited,
                     TimePoint now);
+    /** Grants or refuses a hedge at once. */
+    Outcome placeHedge(const PlacementRequest &request, TimePoint now);
+    /** @return the best free target for a hedge, of the requesting host's zone if possible */
+    std::optional<Candidate> pickForHedge(const PlacementRequest &request, TimePoint now);
+    HedgeSituation hedgeSituation(const PlacementRequest &request, TimePoint now) const;
+    /** @return requests in flight as a share of the slots that the placing host may fill */
+    Share utilization(TimePoint now) const;
+    /** Records that an attempt was cancelled because its hedge was answered. */
+    void recordOvertaken(TargetState &target, const Grant &grant, Microseconds time);
+    /** @return see Placement::hedgeAfter */
+    Milliseconds hedgeAfter(const PlacementRequest &request) const;
     /** Checks the retry budget, and counts the attempt. */
     std::optional<Refusal> checkRetryBudget(const PlacementRequest &request, RetryBudget &budget,
                                             TimePoint now);
@@ -518,6 +543,8 @@
     std::vector<PlacementRequest> m_evicted;
     RetryBudget m_retryBudget;
     RetryBudget m_fallbackRetryBudget;
+    HedgingPolicy m_hedging;
+    std::optional<HedgeRefusal> m_hedgeRefusal;
     CrashSuspects &m_suspects;
     std::vector<RolloutSample> m_rolloutSamples;
     ServiceTimes m_serviceTimes;
--- a/include/endivedock/config/declarations.h
+++ b/include/endivedock/config/declarations.h
@@ -55,6 +55,8 @@
     int queueLimit = 200;
     /** Upper limit of the retries, as a fraction of the first attempts. */
     Share retryBudgetRatio{0.1};
+    /** Upper limit of the hedges, as a fraction of the first attempts; zero for none. */
+    Share hedgingShare{0};
     int maxAttempts = 3;
     /** Health probes per second of each target, summed over all hosts. */
     PerSecond probeRate{0.5};
--- a/include/endivedock/dispatch/placement_client-inl.h
+++ b/include/endivedock/dispatch/placement_client-inl.h
@@ -363,7 +363,8 @@
     m_targets.recordEnd(attempt.placement.target);
     updatePause(attempt, report);
     const bool targetSeemsHealthy = report.outcome == AttemptOutcome::Answered ||
-                                    report.outcome == AttemptOutcome::Abandoned;
+                                    report.outcome == AttemptOutcome::Abandoned ||
+                                    report.outcome == AttemptOutcome::Overtaken;
     if (!targetSeemsHealthy)
         m_fallback.markNotWarm(report.target);
     if (report.outcome == AttemptOutcome::Answered)
--- a/include/endivedock/edge/shared_placement-inl.h
+++ b/include/endivedock/edge/shared_placement-inl.h
@@ -33,6 +33,13 @@
     return std::clamp(latencyObjective / answerTimeoutDivisor, minAnswerTimeout, maxAnswerTimeout);
 }
 
+/** @return whether the placing host has granted or refused the request */
+inline bool isDecided(const std::optional<PlacementAnswer> &answer)
+{
+    return answer && (std::holds_alternative<Placement>(answer->outcome) ||
+                      std::holds_alternative<Refusal>(answer->outcome));
+}
+
 /** @return the answer to the host that requested the placement */
 inline PlacementAnswer makeAnswer(const PlacementRequest &request,
                                   const ServiceBalancer::Outcome &outcome)
@@ -46,7 +53,8 @@
         return answer;
     }
     const auto &choice = std::get<TargetChoice>(outcome);
-    answer.outcome = Placement{choice.grant, choice.target.id, !choice.isCold};
+    answer.outcome = Placement{choice.grant, choice.target.id, !choice.isCold, std::nullopt,
+                               choice.hedgeAfter};
     return answer;
 }
 
@@ -82,6 +90,8 @@
     request.zone = m_settings.zone;
     const TimePoint now = SteadyClock().now();
     const HostId placingHost = m_peers.placingHost(request.service, now);
+    if (request.firstAttemptAge && m_suspects.isSuspect(request.fingerprint, now))
+        co_return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
     // This host may know of a crash of which the placing host does not know yet.
     if (placingHost != m_self && !m_suspects.tryAdmit(request.fingerprint, now)) {
         const Refusal refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
@@ -117,6 +127,9 @@
         co_return Refusal{RefusalReason::DeadlineExceeded, RunCertainty::NotRun};
     }
     request.remaining = toMilliseconds(deadline - SteadyClock().now());
+    // Hedges need the knowledge and the limit of the placing host.
+    if (request.firstAttemptAge && !placement_detail::isDecided(answer))
+        co_return Refusal{RefusalReason::NoTarget, RunCertainty::NotRun};
     if (answer)
         co_return applyAnswer(request, placingHost, *answer);
     if (request.remaining <= Milliseconds(0))
@@ -195,6 +208,8 @@
     if (choice)
         return makePlacedTarget(request, *choice, placedBy);
     refuseChoice(request, *placement, placedBy);
+    if (request.firstAttemptAge)
+        return Refusal{RefusalReason::NoTarget, RunCertainty::NotRun};
     return placeAsFallback(request);
 }
 
@@ -229,7 +244,8 @@
                 field("load_age_ms", choice.slowdownAge.count()), field("cold", choice.isCold),
                 field("left_ms", request.remaining.count())});
     PlacedTarget target;
-    target.placement = {choice.grant, choice.target.id, !choice.isCold};
+    target.placement = {choice.grant, choice.target.id, !choice.isCold, std::nullopt,
+                        choice.hedgeAfter};
     target.address = choice.target.address;
     target.connectionLimit = choice.connections;
     target.connectTimeout = m_settings.connectTimeout;
@@ -449,7 +465,19 @@
     const auto *refusal = std::get_if<Refusal>(&outcome);
     if (refusal == nullptr)
         return;
-    const ServiceBalancer &balancer = *find(request.service);
+    ServiceBalancer &balancer = *find(request.service);
+    if (const auto hedge = balancer.takeHedgeRefusal()) {
+        const std::string reason(name(*hedge));
+        m_metrics.count("endivedock_hedges_refused_total",
+                        {{"service", request.service.value()}, {"reason", reason}});
+        m_log.info("Hedge not placed",
+                   {field("id", request.attempt.request), field("host", request.attempt.host),
+                    field("service", request.service), field("reason", reason),
+                    field("waiting", balancer.waitingCount()),
+                    field("objective_ms", request.latencyObjective.count()),
+                    field("left_ms", request.remaining.count())});
+        return;
+    }
     m_log.info(
             "Placement refused",
             {field("id", request.attempt.request), field("host", request.attempt.host),
--- a/include/endivedock/gateway/attempt_runner-inl.h
+++ b/include/endivedock/gateway/attempt_runner-inl.h
@@ -26,19 +26,18 @@
 
 template <FrontEnd F, PlacementSource P>
 RequestHead AttemptRunner<F, P>::makeTargetRequestHead(const GatewayRequest &request,
-                                                       const TargetId &target) const
+                                                       const AttemptContext &attempt) const
 {
     RequestHead head = request.head;
     head.path = request.plan.targetPath;
-    const Milliseconds timeLeft = toMilliseconds(request.plan.deadline - SteadyClock().now());
-    m_frontEnd.setRequestFields(head.fields, request.plan,
-                                {target, request.triedTargets.size(), timeLeft}, request.id);
+    m_frontEnd.setRequestFields(head.fields, request.plan, attempt, request.id);
     return head;
 }
 
 template <FrontEnd F, PlacementSource P>
 Task<AttemptResult> AttemptRunner<F, P>::run(SessionPtr session, RequestPtr request,
-                                             PlacedTarget target, AttemptReport &report)
+                                             PlacedTarget target, AttemptReport &report,
+                                             RunningAttempt &attempt)
 {
     const TimePoint startedAt = SteadyClock().now();
     AttemptResult result;
@@ -51,12 +50,18 @@
                 target.address, target.connectionLimit, target.maxIdleTime, connectBy);
         if (session->isDisconnected())
             throw CallerError("caller disconnected before its request was sent to a target");
+        if (attempt.isOvertaken) {
+            recordUnneeded(*session, attempt, report, startedAt);
+            co_return result;
+        }
         connection->setDeadline(request->plan.deadline);
         TargetConnection *active = &*connection;
-        request->cancel = [active] { active->close(); }; // Signals the cancellation.
+        attempt.cancel = [active] { active->close(); }; // Signals the cancellation.
         hasStartedSending = true;
-        co_await sendRequest(session, request, target.placement.target, *connection);
-        result = co_await receiveResponse(session, request, *connection, report);
+        const AttemptContext context{target.placement.target, attempt.previousAttempts,
+                                     toMilliseconds(request->plan.deadline - SteadyClock().now())};
+        co_await sendRequest(session, request, context, *connection);
+        result = co_await receiveResponse(session, request, *connection, report, attempt);
     } catch (const TargetConnectError &error) {
         result.outcome = AttemptOutcome::ConnectFailed;
         cause = error.what();
@@ -66,10 +71,10 @@
         report.isUnanswered = true;
         cause = error.what();
     } catch (...) {
-        request->cancel = nullptr;
+        attempt.cancel = nullptr;
         throw;
     }
-    request->cancel = nullptr;
+    attempt.cancel = nullptr;
     if (report.isTargetDraining)
         m_pool.closeIdle(target.address);
     if (session->isDisconnected()) {
@@ -79,6 +84,10 @@
                                   ? "caller disconnected while a target ran its request"
                                   : "caller disconnected while the host connected to a target");
     }
+    if (attempt.isOvertaken) {
+        recordUnneeded(*session, attempt, report, startedAt);
+        co_return result;
+    }
     report.outcome = result.outcome;
     report.time = microsecondsSince(startedAt);
     request->targetTime += report.time;
@@ -87,7 +96,7 @@
             {field("request", request->plan.callerRequestId), field("id", request->id),
              field("target", target.placement.target), field("service", request->plan.service),
              field("content", request->fingerprint), field("outcome", name(result.outcome)),
-             field("attempt", request->triedTargets.size() + 1),
+             field("attempt", attempt.previousAttempts + 1),
              field("took_ms", report.time.count() / 1000),
              field("config", request->plan.configuration),
              field("left_ms", toMilliseconds(request->plan.deadline - SteadyClock().now()).count()),
@@ -99,11 +108,22 @@
 }
 
 template <FrontEnd F, PlacementSource P>
-Task<> AttemptRunner<F, P>::sendRequest(SessionPtr session, RequestPtr request, TargetId target,
-                                        TargetConnection &connection)
+void AttemptRunner<F, P>::recordUnneeded(const CallerSession &session,
+                                         const RunningAttempt &attempt, AttemptReport &report,
+                                         TimePoint startedAt) const
+{
+    report.outcome = attempt.isOvertaken && !session.isDisconnected() ? AttemptOutcome::Overtaken
+                                                                      : AttemptOutcome::Abandoned;
+    report.isUnanswered = false;
+    report.time = microsecondsSince(startedAt);
+}
+
+template <FrontEnd F, PlacementSource P>
+Task<> AttemptRunner<F, P>::sendRequest(SessionPtr session, RequestPtr request,
+                                        AttemptContext attempt, TargetConnection &connection)
 {
     try {
-        co_await connection.sendHead(makeTargetRequestHead(*request, target));
+        co_await connection.sendHead(makeTargetRequestHead(*request, attempt));
         if (request->isBodyBuffered &&
             request->bufferedBody.size() > attempt_detail::maxInlineBodyBytes) {
             // The target may respond before it has read the whole body, so the response is read
@@ -139,7 +159,8 @@
 template <FrontEnd F, PlacementSource P>
 Task<AttemptResult> AttemptRunner<F, P>::receiveResponse(SessionPtr session, RequestPtr request,
                                                          TargetConnection &target,
-                                                         AttemptReport &report)
+                                                         AttemptReport &report,
+                                                         RunningAttempt &attempt)
 {
     ResponseHead head;
     std::vector<char> body;
@@ -150,8 +171,10 @@
         const ResponseOrigin origin = m_frontEnd.origin(head, request->plan, request->id);
         if (origin == ResponseOrigin::Unusable)
             throw TargetError("target sent a response that does not belong to the request", false);
-        if (origin == ResponseOrigin::ThisRequest)
+        if (origin == ResponseOrigin::ThisRequest) {
             targetReport = readTargetReport(head, report);
+            attempt.hasResponse = true;
+        }
         while (body.size() <= attempt_detail::maxBufferedResponseBytes) {
             const std::size_t filled = body.size();
             body.resize(filled +
@@ -179,8 +202,8 @@
                   [this](const HeaderField &field) { return m_frontEnd.isInternal(field); });
     m_frontEnd.setResponseFields(head.fields, request->id);
     if (!target.isResponseComplete())
-        co_return co_await streamResponse(session, request, target, report, std::move(head),
-                                          std::move(body));
+        co_return co_await streamResponse(session, request, target, report, attempt,
+                                          std::move(head), std::move(body));
     result.outcome = outcomeForStatus(head.status);
     result.response = BufferedResponse{std::move(head), std::move(body)};
     co_return result;
@@ -210,9 +233,12 @@
 template <FrontEnd F, PlacementSource P>
 Task<AttemptResult> AttemptRunner<F, P>::streamResponse(SessionPtr session, RequestPtr request,
                                                         TargetConnection &target,
-                                                        AttemptReport &report, ResponseHead head,
+                                                        AttemptReport &report,
+                                                        RunningAttempt &attempt, ResponseHead head,
                                                         std::vector<char> start)
 {
+    if (attempt.isOvertaken || (attempt.claimCaller && !attempt.claimCaller()))
+        co_return AttemptResult{};
     CallerConnection &caller = session->caller();
     co_await session->awaitResponseTurn(request->sequenceNumber);
     session->decideKeepAlive(*request);
--- a/include/endivedock/gateway/attempt_runner.h
+++ b/include/endivedock/gateway/attempt_runner.h
@@ -7,6 +7,7 @@
 #include "endivedock/gateway/target_connection_pool.h"
 #include "endivedock/telemetry.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <vector>
@@ -30,6 +31,24 @@
     std::optional<BufferedResponse> response;
 };
 
+/** One attempt while it runs, as seen by the task of its request. */
+struct RunningAttempt
+{
+    /** Targets to which the request was sent before. */
+    std::size_t previousAttempts = 0;
+    /** Ends the attempt's wait for a placement or for its target; empty between waits. */
+    std::function<void()> cancel;
+    /** Another attempt of the request is answered, so this one must end. */
+    bool isOvertaken = false;
+    /** The header of the target's response has arrived. */
+    bool hasResponse = false;
+    /**
+     * Asked before any of a streamed response is sent to the caller: whether this attempt is the
+     * one that responds. Empty if the request has no other attempt.
+     */
+    std::function<bool()> claimCaller;
+};
+
 /** @return the time that has passed since @p start */
 inline Microseconds microsecondsSince(TimePoint start)
 {
@@ -80,24 +99,31 @@
     /**
      * Sends the request to @p target and reads the response.
      *
-     * @param report  receives how the attempt ended
+     * @param report   receives how the attempt ended
+     * @param attempt  must outlive the returned task
      * @throws CallerError if the caller disconnected, or the exchange with it failed
      * @throws CallerRequestError if the rest of a streamed body is malformed or too long
      */
     Task<AttemptResult> run(SessionPtr session, RequestPtr request, PlacedTarget target,
-                            AttemptReport &report);
+                            AttemptReport &report, RunningAttempt &attempt);
     /** @return see TargetConnectionPool::connectedTargets() */
     std::vector<AddressHash> connectedTargets() const { return m_pool.connectedTargets(); }
 
 private:
-    RequestHead makeTargetRequestHead(const GatewayRequest &request, const TargetId &target) const;
-    Task<> sendRequest(SessionPtr session, RequestPtr request, TargetId target,
+    RequestHead makeTargetRequestHead(const GatewayRequest &request,
+                                      const AttemptContext &attempt) const;
+    Task<> sendRequest(SessionPtr session, RequestPtr request, AttemptContext attempt,
                        TargetConnection &connection);
     Task<AttemptResult> receiveResponse(SessionPtr session, RequestPtr request,
-                                        TargetConnection &target, AttemptReport &report);
+                                        TargetConnection &target, AttemptReport &report,
+                                        RunningAttempt &attempt);
     Task<AttemptResult> streamResponse(SessionPtr session, RequestPtr request,
                                        TargetConnection &target, AttemptReport &report,
-                                       ResponseHead head, std::vector<char> start);
+                                       RunningAttempt &attempt, ResponseHead head,
+                                       std::vector<char> start);
+    /** Records how an attempt ended whose response is not needed any more. */
+    void recordUnneeded(const CallerSession &session, const RunningAttempt &attempt,
+                        AttemptReport &report, TimePoint startedAt) const;
     /** Takes what the target states about itself in the header of its response. */
     TargetReport readTargetReport(const ResponseHead &head, AttemptReport &report);
 
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endivedock/gateway/attempt_runner-inl.h"
+#include "endivedock/gateway/attempt_race-inl.h"
 #include "endivedock/gateway/gateway_server.h"
 #include "endivedock/gateway/problem.h"
 
@@ -399,29 +399,20 @@
                 refusal->certainty = certainty;
             co_return *refusal;
         }
-        const PlacedTarget target = std::get<PlacedTarget>(std::move(placed));
-        AttemptResult result;
-        {
-            AttemptReportGuard<P> guard(m_placements, {.attempt = placementRequest.attempt,
-                                                       .service = request->plan.service,
-                                                       .grant = target.placement.grant,
-                                                       .target = target.placement.target,
-                                                       .incarnation = std::nullopt,
-                                                       .reportedInFlight = std::nullopt,
-                                                       .load = std::nullopt,
-                                                       .pause = std::nullopt});
-            if (session->isDisconnected())
-                throw CallerError("caller disconnected while its request waited for a target");
-            result = co_await m_attempts.run(session, request, target, guard.report());
-        }
+        const auto attempts = std::make_shared<AttemptRace<F, P>>(
+                m_executor, m_attempts, m_placements, m_context.metrics, session, request);
+        RaceResult race =
+                co_await attempts->run(placementRequest, std::get<PlacedTarget>(std::move(placed)));
+        AttemptResult &result = race.result;
         if (result.isStreamed)
             co_return StreamedResponse{};
         if (result.outcome == AttemptOutcome::Answered)
             co_return std::move(*result.response);
-        if (result.response)
-            lastErrorResponse = std::move(result.response);
-        if (runCertaintyOf(result.outcome) == RunCertainty::MayHaveRun)
+        if (race.errorResponse)
+            lastErrorResponse = std::move(race.errorResponse);
+        if (race.certainty == RunCertainty::MayHaveRun)
             certainty = RunCertainty::MayHaveRun;
+        attemptNumber += static_cast<int>(race.targets.size()) - 1;
         FailedAttempt failedAttempt;
         failedAttempt.outcome = result.outcome;
         failedAttempt.attempts = attemptNumber;
@@ -438,7 +429,8 @@
         m_context.metrics.count(
                 "endivedock_retries_total",
                 {{"service", service}, {"reason", std::string(name(failedAttempt.outcome))}});
-        request->triedTargets.push_back(target.placement.target);
+        request->triedTargets.insert(request->triedTargets.end(), race.targets.begin(),
+                                     race.targets.end());
     }
 }
 
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "endivedock/config.h"
-#include "endivedock/gateway/attempt_runner.h"
+#include "endivedock/gateway/attempt_race.h"
 #include "endivedock/telemetry.h"
 
 #include <concepts>
--- a/include/endivedock/placement/codec.h
+++ b/include/endivedock/placement/codec.h
@@ -19,13 +19,14 @@
             request.requestClass, request.priority, request.isRetry, request.remaining,
             request.fingerprint, request.excludedTargets, request.closedTargets,
             request.latencyObjective, request.zone, request.body, request.connectedTargets,
-            request.team);
+            request.team, request.firstAttemptAge);
 }
 
 template <typename Archive>
 void serialize(Archive &archive, Placement &placement)
 {
-    archive(placement.grant, placement.target, placement.targetIsWarm, placement.incarnation);
+    archive(placement.grant, placement.target, placement.targetIsWarm, placement.incarnation,
+            placement.hedgeAfter);
 }
 
 template <typename Archive>
@@ -60,7 +61,7 @@
 void serialize(Archive &archive, AttemptReport &report)
 {
     archive(report.attempt, report.service, report.grant, report.target,
-            enumerator(report.outcome, AttemptOutcome::Abandoned), report.time, report.incarnation,
+            enumerator(report.outcome, AttemptOutcome::Overtaken), report.time, report.incarnation,
             report.reportedInFlight, report.load, report.pause, report.isTargetDraining,
             report.misdirected);
 }
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -40,6 +40,12 @@
     TeamHash team;
     /** True for an attempt after a failed one, at this host or at a caller further upstream. */
     bool isRetry = false;
+    /**
+     * Present if the request asks for a hedge: for a second target while an earlier attempt runs,
+     * which is the last one of excludedTargets. The time since that attempt began. A hedge is
+     * granted or refused at once; it never waits.
+     */
+    std::optional<Milliseconds> firstAttemptAge;
     /** Time until the request's deadline. */
     Milliseconds remaining{0};
     /** Equal for all copies of a request, so that a crash suspect is recognised. */
@@ -73,6 +79,8 @@
     bool targetIsWarm = false;
     /** Incarnation of the target as far as the placing host knows it. */
     std::optional<Incarnation> incarnation = std::nullopt;
+    /** Time after the start of the attempt at which to ask for a hedge; zero for none. */
+    Milliseconds hedgeAfter{0};
 };
 
 /**
@@ -132,6 +140,8 @@
     TimedOut,
     /** The caller disconnected, or the requesting host no longer needed the response. */
     Abandoned,
+    /** Another attempt of the request was answered first, so this one was cancelled. */
+    Overtaken,
 };
 
 /** Reports to the placing host how an attempt ended, which releases its grant. */
--- a/include/endivedock/placement/placer-inl.h
+++ b/include/endivedock/placement/placer-inl.h
@@ -35,6 +35,7 @@
     , m_template(service.settings)
     , m_evacuatedZones(service.evacuatedZones)
     , m_retryBudget(service.settings.retryBudgetRatio)
+    , m_hedging(service.settings.hedgingShare)
     , m_probes(service.settings.probeRate)
 {
 }
@@ -46,6 +47,7 @@
     m_evacuatedZones = service.evacuatedZones;
     m_version = service.version;
     m_retryBudget.setRatio(m_template.retryBudgetRatio);
+    m_hedging.setShare(m_template.hedgingShare);
     m_probes.setRate(m_template.probeRate);
     for (auto &target : m_targets)
         target.adaptiveLimit.setMaximum(fullLimit());
@@ -239,7 +241,7 @@
             continue;
         if (rules.isSuspect && target.suspectsInFlight > 0)
             continue;
-        if (rules.isColdOnly && !target.warmup.isCold())
+        if (target.warmup.isCold() ? rules.isWarmOnly : rules.isColdOnly)
             continue;
         if (placement_detail::contains(request.excludedTargets, target.listed.id) ||
             placement_detail::contains(request.closedTargets, target.listed.id))
@@ -313,7 +315,8 @@
     const GrantId id(m_random() | 1);
     const TimePoint expiresAt = deadline + m_settings.grantExpiryMargin;
     m_grants.emplace(id, Grant{request.attempt, index, request.fingerprint, request.route,
-                               isSuspect, target.warmup.isCold(), now, expiresAt});
+                               isSuspect, target.warmup.isCold(), now, expiresAt,
+                               request.firstAttemptAge.has_value(), hedgeAfter(request)});
     m_grantByAttempt[request.attempt] = id;
     m_expiries.emplace(expiresAt, id);
     return makePlacement(id, target);
@@ -322,7 +325,8 @@
 template <PickPolicy Policy>
 Placement BasicPlacer<Policy>::makePlacement(GrantId grant, const Target &target) const
 {
-    return {grant, target.listed.id, !target.warmup.isCold(), target.warmup.incarnation()};
+    return {grant, target.listed.id, !target.warmup.isCold(), target.warmup.incarnation(),
+            m_grants.at(grant).hedgeAfter};
 }
 
 template <PickPolicy Policy>
@@ -366,6 +370,7 @@
         return notRun(RefusalReason::DeadlineExceeded);
     if (!request.isRetry) {
         m_retryBudget.recordFirstAttempt(now);
+        m_hedging.recordFirstAttempt(now);
         return std::nullopt;
     }
     if (!m_retryBudget.tryRetry(now))
@@ -397,6 +402,10 @@
         return answers;
     }
     refreshBaseline(now);
+    if (request.firstAttemptAge) {
+        answers.push_back(placeHedge(request, now));
+        return answers;
+    }
     if (const auto refusal = checkAdmission(request, now)) {
         answers.push_back({request.attempt, m_service, request.transmissionNumber, *refusal});
         return answers;
@@ -573,6 +582,9 @@
                                       TimePoint now)
 {
     Target &target = m_targets[grant.target];
+    recordHedgingTime(grant, report, now);
+    if (report.outcome == AttemptOutcome::Overtaken)
+        return; // The end says no more about the target.
     target.reportedInFlight = report.reportedInFlight;
     m_probes.recordObservation(target.listed.id, now);
     if (report.isTargetDraining)
@@ -604,6 +616,7 @@
         failed = true;
         break;
     case AttemptOutcome::Abandoned:
+    case AttemptOutcome::Overtaken:
         return;
     }
     if (target.warmup.recordResponse(report.incarnation, !failed, report.time, grant.startedAt,
@@ -627,8 +640,9 @@
             continue;
         m_targets[index->second].inFlight += Slots(1);
         const TimePoint expiresAt = now + attempt.remaining + m_settings.grantExpiryMargin;
-        m_grants.emplace(attempt.grant, Grant{attempt.attempt, index->second, attempt.fingerprint,
-                                              attempt.route, false, false, now, expiresAt});
+        m_grants.emplace(attempt.grant,
+                         Grant{attempt.attempt, index->second, attempt.fingerprint, attempt.route,
+                               false, false, now, expiresAt, false, Milliseconds(0)});
         m_grantByAttempt[attempt.attempt] = attempt.grant;
         m_expiries.emplace(expiresAt, attempt.grant);
     }
@@ -683,6 +697,8 @@
     if (index == m_targetIndex.end())
         return;
     Target &target = m_targets[index->second];
+    if (incarnation)
+        target.lastSeenAt = now;
     // A target that has ended as it stated was not crashed by a request.
     const bool wasDraining = target.isDraining;
     if (!incarnation) {
--- a/include/endivedock/placement/placer.h
+++ b/include/endivedock/placement/placer.h
@@ -3,6 +3,7 @@
 #include "endivedock/coldstart.h"
 #include "endivedock/config.h"
 #include "endivedock/directory/listing.h"
+#include "endivedock/hedging.h"
 #include "endivedock/limits.h"
 #include "endivedock/placement/messages.h"
 #include "endivedock/probing.h"
@@ -62,6 +63,7 @@
     std::uint64_t markedCold = 0;
     std::uint64_t probes = 0;
     std::uint64_t retriesGranted = 0;
+    std::uint64_t hedgesGranted = 0;
 };
 
 /** State of one target as the admin pages show it. */
@@ -184,6 +186,8 @@
         /** Start of the slow start. */
         TimePoint usableSince{};
         std::optional<Slots> reportedInFlight;
+        /** When the target last sent a response. */
+        TimePoint lastSeenAt{};
     };
     struct Grant
     {
@@ -196,6 +200,9 @@
         bool wasCold = false;
         TimePoint startedAt;
         TimePoint expiresAt;
+        bool isHedge = false;
+        /** See Placement::hedgeAfter. */
+        Milliseconds hedgeAfter{0};
     };
     /** Restricts the targets that may be picked. */
     struct PickRules
@@ -203,6 +210,7 @@
         VersionRole role = VersionRole::Old;
         bool isSuspect = false;
         bool isColdOnly = false;
+        bool isWarmOnly = false;
     };
     struct QueuedRequest
     {
@@ -244,6 +252,15 @@
     /** @return whether there is a target that may be used and is open to the requesting host */
     bool hasUsableTarget(const PlacementRequest &request) const;
     Duration expectedWait() const;
+    /** @return see Placement::hedgeAfter */
+    Milliseconds hedgeAfter(const PlacementRequest &request) const;
+    /** @return requests in flight at the warm targets, as a share of their limits */
+    Share utilization(TimePoint now) const;
+    /** @return whether the target has sent no response after @p since */
+    bool isSilent(const TargetId &id, TimePoint since) const;
+    /** Grants or refuses a hedge at once. */
+    PlacementAnswer placeHedge(const PlacementRequest &request, TimePoint now);
+    void recordHedgingTime(const Grant &grant, const AttemptReport &report, TimePoint now);
 
     ServiceId m_service;
     Random &m_random;
@@ -259,6 +276,7 @@
     AdmissionQueue<QueuedRequest> m_queue;
     std::map<AttemptId, typename AdmissionQueue<QueuedRequest>::Ticket> m_tickets;
     RetryBudget m_retryBudget;
+    HedgingPolicy m_hedging;
     CrashSuspects m_crashSuspects;
     ProbeSchedule m_probes;
     std::optional<VersionId> m_version;
@@ -279,3 +297,4 @@
 } // namespace endivedock
 
 #include "endivedock/placement/placer-inl.h"
+#include "endivedock/placement/placer_hedging-inl.h"
--- a/src/balancing/balancer_outcomes.cpp
+++ b/src/balancing/balancer_outcomes.cpp
@@ -66,6 +66,9 @@
     switch (report.outcome) {
     case AttemptOutcome::Abandoned:
         return;
+    case AttemptOutcome::Overtaken:
+        recordOvertaken(target, grant, report.time);
+        return;
     case AttemptOutcome::Answered:
         break;
     case AttemptOutcome::Shed:
@@ -99,6 +102,8 @@
     }
     if (report.outcome != AttemptOutcome::TimedOut)
         target.recordResponse(now);
+    if (report.outcome == AttemptOutcome::Answered && !grant.isHedge && !grant.isCold)
+        m_hedging.recordTime(grant.requestClass.route, report.time);
     const double slowdown = std::max(1.0, report.load ? report.load->slowdown : grant.slowdown);
     const auto serviceTime = static_cast<double>(report.time.count()) / slowdown;
     const Microseconds normalizedTime(static_cast<std::int64_t>(serviceTime));
@@ -133,7 +138,8 @@
     else if (report.outcome == AttemptOutcome::ConnectionLost || report.isUnanswered)
         m_suspects.recordLoss({grant.fingerprint, grant.target, grant.zone, grant.grantedAt, now,
                                report.outcome != AttemptOutcome::ConnectionLost});
-    else if (report.outcome != AttemptOutcome::Abandoned)
+    else if (report.outcome != AttemptOutcome::Abandoned &&
+             report.outcome != AttemptOutcome::Overtaken)
         m_suspects.recordTargetAlive(grant.target, grant.grantedAt);
 }
 
--- a/src/balancing/service_balancer.cpp
+++ b/src/balancing/service_balancer.cpp
@@ -35,6 +35,7 @@
     , m_random(random)
     , m_retryBudget(settings.retryBudgetRatio)
     , m_fallbackRetryBudget(settings.retryBudgetRatio)
+    , m_hedging(settings.hedgingShare)
     , m_suspects(suspects)
 {
     m_rules.id = m_service;
@@ -148,6 +149,7 @@
 {
     if (!request.isRetry) {
         budget.recordFirstAttempt(now);
+        m_hedging.recordFirstAttempt(now);
         return std::nullopt;
     }
     if (!budget.tryRetry(now))
@@ -173,6 +175,8 @@
     }
     refreshBaseline(now);
     m_lastPlacementAt = now;
+    if (request.firstAttemptAge)
+        return placeHedge(request, now);
     if (!m_suspects.tryAdmit(request.fingerprint, now))
         return Refusal{RefusalReason::CrashSuspect, RunCertainty::NotRun};
     if (auto refusal = checkRetryBudget(request, m_retryBudget, now))
@@ -326,7 +330,9 @@
             static_cast<double>(m_serviceTimes.expected(request.requestClass).count()) *
             expectedSlowdown(target, now);
     chosen.inFlight = target.inFlight(now, m_settings).value();
-    return recordGrant(request, placement.grant, placedBy, chosen, now);
+    TargetChoice choice = recordGrant(request, placement.grant, placedBy, chosen, now);
+    choice.hedgeAfter = placement.hedgeAfter;
+    return choice;
 }
 
 TargetChoice ServiceBalancer::grant(const PlacementRequest &request, const Candidate &chosen,
@@ -336,7 +342,10 @@
         chosen.target->consumeColdAllowance(now, coldRequestInterval(mode));
         ++m_counters.coldGrants;
     }
-    return recordGrant(request, GrantId(m_random() | 1), m_self, chosen, now);
+    TargetChoice choice = recordGrant(request, GrantId(m_random() | 1), m_self, chosen, now);
+    if (mode == PlacementMode::Central)
+        choice.hedgeAfter = m_grants[choice.grant].hedgeAfter = hedgeAfter(request);
+    return choice;
 }
 
 TargetChoice ServiceBalancer::recordGrant(const PlacementRequest &request, GrantId id,
@@ -356,6 +365,7 @@
     grant.fingerprint = request.fingerprint;
     grant.isOverfilled = chosen.inFlight >= usableSlots(target);
     grant.isCold = isCold;
+    grant.isHedge = request.firstAttemptAge.has_value();
     grant.slowdown = target.slowdown().slowdown;
     grant.zone = entry.zone;
     grant.grantedAt = now;
@@ -400,6 +410,7 @@
     const int connectionsPerHost = m_rules.connections.value() / static_cast<int>(m_hostCount);
     choice.connections = Connections(std::max(connectionsPerHost, choice.target.slots.value() + 1));
     choice.isCold = grant->second.isCold;
+    choice.hedgeAfter = grant->second.hedgeAfter;
     return choice;
 }
 
--- a/src/config/declarations.cpp
+++ b/src/config/declarations.cpp
@@ -24,6 +24,7 @@
 constexpr IntegerRange unixTimeMsRange{0, std::int64_t{1} << 50};
 constexpr IntegerRange rolloutNumberRange{1, std::int64_t{1} << 53};
 constexpr FractionRange retryBudgetRatioRange{0.0, 1.0};
+constexpr FractionRange hedgingShareRange{0.0, 1.0};
 constexpr FractionRange probeRateRange{0.0, 1000.0};
 
 /** Names become parts of store keys and URLs, so only some characters are allowed. */
@@ -172,8 +173,8 @@
 {
     node.expectOnlyFields({"template", "slots", "targetQueue", "connections", "coldAllowance",
                            "warmAfterAnswers", "deadlineMs", "queueLimit", "retryShare",
-                           "maxAttempts", "probesPerSecond", "probePath", "maxBodyBytes",
-                           "routes"});
+                           "hedgingShare", "maxAttempts", "probesPerSecond", "probePath",
+                           "maxBodyBytes", "routes"});
     ServiceTemplate result;
     result.id = TemplateId(parseName(node, "template"));
     result.slots = Slots(static_cast<int>(node.integer("slots", slotsRange)));
@@ -188,6 +189,7 @@
     result.deadline = Milliseconds(node.integerOr("deadlineMs", deadlineMsRange, 5000));
     result.queueLimit = static_cast<int>(node.integerOr("queueLimit", queueLimitRange, 200));
     result.retryBudgetRatio = Share(node.fractionOr("retryShare", retryBudgetRatioRange, 0.1));
+    result.hedgingShare = Share(node.fractionOr("hedgingShare", hedgingShareRange, 0));
     result.maxAttempts = static_cast<int>(node.integerOr("maxAttempts", maxAttemptsRange, 3));
     result.probeRate = PerSecond(node.fractionOr("probesPerSecond", probeRateRange, 0.5));
     result.probePath = node.stringOr("probePath", "/health");
--- a/src/gateway/attempt_policy.cpp
+++ b/src/gateway/attempt_policy.cpp
@@ -34,6 +34,7 @@
     case AttemptOutcome::ConnectionLost:
     case AttemptOutcome::TimedOut:
     case AttemptOutcome::Abandoned:
+    case AttemptOutcome::Overtaken:
         return RunCertainty::MayHaveRun;
     }
     return RunCertainty::MayHaveRun;
@@ -83,6 +84,8 @@
         return "timed-out";
     case AttemptOutcome::Abandoned:
         return "abandoned";
+    case AttemptOutcome::Overtaken:
+        return "overtaken";
     }
     return "unknown";
 }
--- a/tests/balancing/mixed_load.cpp
+++ b/tests/balancing/mixed_load.cpp
@@ -24,8 +24,18 @@
     std::uint64_t caller = 0;
     TimePoint startedAt;
     double workLeftMs = 0;
+    /** What a hedge would be placed for; its first attempt is this one. */
+    PlacementRequest request;
+    bool mayHedge = false;
 };
 
+BalancingSettings settingsFor(const MixedLoad &load)
+{
+    BalancingSettings settings;
+    settings.hedgingShare = load.hedgingShare;
+    return settings;
+}
+
 class Simulation
 {
 public:
@@ -60,8 +70,9 @@
                 sendNewRequests();
             returnRefusedCallers();
             finishRequests();
+            hedgeRequests();
             for (const auto &decision : m_balancer.dispatch(m_now))
-                apply(decision.request.attempt.request.value(), decision.outcome);
+                apply(decision.request, decision.outcome);
             if ((m_now - m_start) / Milliseconds(1) % 25 == 0)
                 probe();
         }
@@ -138,16 +149,53 @@
         request.latencyObjective = kind.latencyObjective;
         request.remaining = kind.deadline - toMilliseconds(m_now - caller.firstSentAt);
         if (const auto outcome = m_balancer.place(request, m_now))
-            apply(number, *outcome);
+            apply(request, *outcome);
+    }
+
+    /** @return the work of one run of a request, which is drawn anew for each run */
+    double drawWork(const RequestKindLoad &kind)
+    {
+        const double variation = 0.7 + 0.6 * drawUnitInterval(m_random);
+        const bool isLong = m_load.tailShare > 0 && drawUnitInterval(m_random) < m_load.tailShare;
+        return double(kind.work.count()) * variation * (isLong ? m_load.tailFactor : 1);
+    }
+
+    /** Asks for hedges as the requesting host does. */
+    void hedgeRequests()
+    {
+        std::vector<Running> hedges;
+        for (auto &item : m_running) {
+            const Milliseconds age = toMilliseconds(m_now - item.startedAt);
+            if (!item.mayHedge || age < item.choice.hedgeAfter)
+                continue;
+            item.mayHedge = false;
+            PlacementRequest request = item.request;
+            request.attempt.number = 129;
+            request.isRetry = true;
+            request.firstAttemptAge = age;
+            request.remaining -= age;
+            request.latencyObjective = std::max(request.latencyObjective - age, Milliseconds(0));
+            request.excludedTargets = {item.choice.target.id};
+            const auto outcome = m_balancer.place(request, m_now);
+            const auto *choice = std::get_if<TargetChoice>(&*outcome);
+            if (choice == nullptr)
+                continue;
+            const Caller &caller = m_callers.at(item.caller);
+            m_results[caller.kind].hedges += isCounted(caller) ? 1 : 0;
+            hedges.push_back({*choice, item.caller, m_now, drawWork(m_load.kinds[caller.kind]),
+                              request, false});
+        }
+        m_running.insert(m_running.end(), hedges.begin(), hedges.end());
     }
 
-    void apply(std::uint64_t number, const ServiceBalancer::Outcome &outcome)
+    void apply(const PlacementRequest &request, const ServiceBalancer::Outcome &outcome)
     {
+        const std::uint64_t number = request.attempt.request.value();
         const Caller caller = m_callers.at(number);
         const RequestKindLoad &kind = m_load.kinds[caller.kind];
         if (const auto *choice = std::get_if<TargetChoice>(&outcome)) {
-            const double variation = 0.7 + 0.6 * drawUnitInterval(m_random);
-            m_running.push_back({*choice, number, m_now, double(kind.work.count()) * variation});
+            m_running.push_back({*choice, number, m_now, drawWork(kind), request,
+                                 choice->hedgeAfter > Milliseconds(0)});
             return;
         }
         m_callers.erase(number);
@@ -181,8 +229,23 @@
             finished.push_back(item);
             return true;
         });
-        for (const auto &item : finished)
-            finish(item);
+        for (const auto &item : finished) {
+            if (m_callers.contains(item.caller))
+                finish(item);
+            else
+                reportEnd(item, AttemptOutcome::Overtaken);
+        }
+    }
+
+    /** Cancels the other attempt of a request that has been answered. */
+    void cancelOther(std::uint64_t caller)
+    {
+        const auto other = std::find_if(m_running.begin(), m_running.end(),
+                                        [&](const Running &each) { return each.caller == caller; });
+        if (other == m_running.end())
+            return;
+        reportEnd(*other, AttemptOutcome::Overtaken);
+        m_running.erase(other);
     }
 
     void finish(const Running &item)
@@ -191,17 +254,26 @@
         m_callers.erase(item.caller);
         const RequestKindLoad &kind = m_load.kinds[caller.kind];
         const Milliseconds time = toMilliseconds(m_now - caller.firstSentAt);
+        if (isCounted(caller))
+            m_results[caller.kind].times.push_back(time.count());
         if (isCounted(caller) && time <= kind.deadline)
             ++(time <= kind.latencyObjective ? m_results[caller.kind].withinObjective
                                              : m_results[caller.kind].late);
+        reportEnd(item, AttemptOutcome::Answered);
+        cancelOther(item.caller);
+    }
+
+    void reportEnd(const Running &item, AttemptOutcome outcome)
+    {
         AttemptReport report;
         report.service = service;
         report.grant = item.choice.grant;
         report.target = item.choice.target.id;
-        report.outcome = AttemptOutcome::Answered;
+        report.outcome = outcome;
         report.time = std::chrono::duration_cast<Microseconds>(m_now - item.startedAt);
-        report.load = ReportedLoad{Slots(1), Slots(0), m_load.slots,
-                                   slowdown(indexOf(item.choice.target.id))};
+        if (outcome == AttemptOutcome::Answered)
+            report.load = ReportedLoad{Slots(1), Slots(0), m_load.slots,
+                                       slowdown(indexOf(item.choice.target.id))};
         m_balancer.finish(report, m_now);
     }
 
@@ -219,7 +291,7 @@
     MixedLoad m_load;
     Random m_random;
     CrashSuspects m_suspects;
-    ServiceBalancer m_balancer{service, self, {}, m_random, m_suspects};
+    ServiceBalancer m_balancer{service, self, settingsFor(m_load), m_random, m_suspects};
     TimePoint m_start{Seconds(1000)};
     TimePoint m_now = m_start;
     std::uint64_t m_requests = 0;
--- a/tests/balancing/mixed_load.h
+++ b/tests/balancing/mixed_load.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/balancing.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -36,6 +37,11 @@
     Milliseconds duration{20'000};
     /** Requests that arrive earlier are excluded from the result. */
     Milliseconds countFrom{2000};
+    /** Share of the requests that take longer, and by which factor. */
+    double tailShare = 0;
+    double tailFactor = 7;
+    /** See BalancingSettings. */
+    Share hedgingShare{0};
     /** Whether a refused caller returns once after the Retry-After of its refusal. */
     bool callersReturn = true;
 };
@@ -49,7 +55,18 @@
     int refused = 0;
     /** Requests that returned after a refusal and were refused again. */
     int refusedAgain = 0;
+    int hedges = 0;
+    /** Times of the answered requests, in milliseconds. */
+    std::vector<std::int64_t> times;
 
+    /** @return the time that this share of the answered requests did not exceed */
+    std::int64_t quantile(double share) const
+    {
+        std::vector<std::int64_t> sorted = times;
+        std::sort(sorted.begin(), sorted.end());
+        const auto last = static_cast<double>(sorted.size()) - 1;
+        return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(last * share)];
+    }
     double shareWithinObjective() const
     {
         return requested == 0 ? 1.0 : static_cast<double>(withinObjective) / requested;
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(drainingNoticesReachTheOtherHosts);
     CPPUNIT_TEST(requestsAreRefusedWhileAllTargetsArePaused);
     CPPUNIT_TEST(pausesAreSentToThePlacingHost);
+    CPPUNIT_TEST(hedgesAreNotPlacedAsFallback);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -324,6 +325,29 @@
         CPPUNIT_ASSERT(fixture.peers.cancels[0].attempt == answer.attempt);
     }
 
+    /** Only the placing host knows the room and the limit of hedges. */
+    void hedgesAreNotPlacedAsFallback()
+    {
+        PlacementFixture fixture;
+        fixture.peers.currentPlacingHost = HostId(2);
+        PlacementRequest hedge;
+        hedge.attempt = {HostId(1), RequestId(7), 129};
+        hedge.service = ServiceId("quotes");
+        hedge.isRetry = true;
+        hedge.firstAttemptAge = Milliseconds(100);
+        hedge.remaining = Milliseconds(800);
+        std::variant<PlacedTarget, Refusal> result;
+        const auto place = [&]() -> Task<> {
+            result = co_await fixture.placement.place(hedge,
+                                                      SteadyClock().now() + Milliseconds(800));
+        };
+        endivedock::testing::runTask(fixture.context, place());
+        CPPUNIT_ASSERT(std::holds_alternative<Refusal>(result));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.peers.cancels.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                             fixture.metrics.counter("endivedock_placements_alone_total"));
+    }
+
 private:
     /**
      * Hosts that read a store in which nothing changes, in steps of 10 ms. Messages arrive at once;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -233,7 +233,7 @@
 
     void nonIdempotentIsRetriedOnlyIfNotRun()
     {
-        for (int i = 0; i <= static_cast<int>(AttemptOutcome::Abandoned); ++i) {
+        for (int i = 0; i <= static_cast<int>(AttemptOutcome::Overtaken); ++i) {
             const auto outcome = static_cast<AttemptOutcome>(i);
             FailedAttempt attempt{outcome, 1, 3, false, true, Seconds(1)};
             const bool isRetried = !refusalUnlessRetryable(attempt);
--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -131,9 +131,46 @@
     CPPUNIT_TEST(crashingRequestIsQuarantined);
     CPPUNIT_TEST(probesStayWithinTheirBudget);
     CPPUNIT_TEST(randomFaultsKeepTheInvariants);
+    CPPUNIT_TEST(slowRequestsAreHedgedWithinTheDeclaredShare);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /** One attempt in flight at one of six targets, and the others answer usual requests. */
+    void slowRequestsAreHedgedWithinTheDeclaredShare()
+    {
+        Service service = makeService();
+        service.settings.hedgingShare = Share(0.02);
+        PlacerFixture fixture(6, service);
+        fixture.warmUp();
+        PlacementRequest request = makeRequest(9000, service.id);
+        const Placement first = *findPlacement(fixture.place(request));
+        CPPUNIT_ASSERT(first.hedgeAfter >= Milliseconds(10));
+        CPPUNIT_ASSERT(findPlacement(fixture.place(request))->hedgeAfter == first.hedgeAfter);
+        fixture.inFlight().clear();
+        fixture.now += Milliseconds(40);
+        request.attempt.number = 129;
+        request.isRetry = true;
+        request.firstAttemptAge = Milliseconds(40);
+        request.excludedTargets = {first.target};
+        CPPUNIT_ASSERT(findRefusal(fixture.place(request)) != nullptr); // The target is silent.
+        fixture.placer().applyProbeResult(first.target, Incarnation(1), false, fixture.now);
+        int hedges = 0;
+        while (const auto *hedge = findPlacement(fixture.place(request))) {
+            CPPUNIT_ASSERT(hedge->target != first.target && hedge->targetIsWarm);
+            CPPUNIT_ASSERT(hedge->hedgeAfter == Milliseconds(0));
+            fixture.finishOldest(AttemptOutcome::Overtaken);
+            ++request.attempt.number;
+            ++hedges;
+        }
+        // Two in a hundred of the 400 first attempts, which are all in the window.
+        CPPUNIT_ASSERT_EQUAL(8, hedges);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), fixture.placer().counters().hedgesGranted);
+        fixture.service().settings.hedgingShare = Share(0);
+        fixture.configure();
+        CPPUNIT_ASSERT(findPlacement(fixture.place(makeRequest(9001, service.id)))->hedgeAfter ==
+                       Milliseconds(0));
+    }
+
     void coldTargetsStayWithinTheirLimit()
     {
         PlacerFixture fixture(3);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -67,6 +67,7 @@
 {
     CPPUNIT_TEST_SUITE(PlatformTest);
     CPPUNIT_TEST(readsSettings);
+    CPPUNIT_TEST(hedgingFollowsTheRetryBudgetUnlessItIsSet);
     CPPUNIT_TEST(hostsBehindDifferentStoreAddressesShareAConfiguredPeerKey);
     CPPUNIT_TEST(refusesMalformedPeerKeys);
     CPPUNIT_TEST(refusesSettingsWithoutRequiredFields);
@@ -108,6 +109,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(64), settings.peerKey.size());
     }
 
+    void hedgingFollowsTheRetryBudgetUnlessItIsSet()
+    {
+        const auto shareWith = [](const std::string &from, const std::string &to) {
+            std::string text(settingsText);
+            text.replace(text.find(from), from.size(), to);
+            return parsePlatformSettings(text).balancing.hedgingShare.value();
+        };
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.05, shareWith("\"other\"", "\"x\""), 1e-9);
+        CPPUNIT_ASSERT_EQUAL(0.0, shareWith("\"retry_budget_ratio=0.2\", ", ""));
+        const std::string field = "\"bootstrap\": true,";
+        CPPUNIT_ASSERT_EQUAL(0.0, shareWith(field, field + "\"hedging_share\": 0,"));
+        CPPUNIT_ASSERT_EQUAL(0.02, shareWith(field, field + "\"hedging_share\": 0.02,"));
+        for (const std::string value : {"-0.1", "1.5", "\"x\""})
+            CPPUNIT_ASSERT_THROW(shareWith(field, field + "\"hedging_share\": " + value + ","),
+                                 PlatformSettingsError);
+    }
+
     static std::string settingsWithPeerKey(const std::string &key)
     {
         std::string text(settingsText);
