--- a/include/endivedock/balancing/balancer_records.h
+++ b/include/endivedock/balancing/balancer_records.h
@@ -30,6 +30,9 @@
     /** Whether the target already had all of its usable slots in use. */
     bool isOverfilled = false;
     bool isCold = false;
+    bool isHedge = false;
+    /** See Placement::hedgeAfter. */
+    Milliseconds hedgeAfter{0};
     /** Slowdown that the target had last reported when it was selected. */
     double slowdown = 1;
     ZoneId zone;
--- a/include/endivedock/balancing/service_balancer.h
+++ b/include/endivedock/balancing/service_balancer.h
@@ -6,6 +6,7 @@
 #include "endivedock/balancing/target_state.h"
 #include "endivedock/balancing/version_policy.h"
 #include "endivedock/fairness.h"
+#include "endivedock/hedging.h"
 #include "endivedock/limits.h"
 #include "endivedock/quarantine.h"
 #include "endivedock/routes.h"
@@ -18,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -191,6 +193,11 @@
     std::vector<RolloutSample> takeRolloutSamples();
 
     const BalancerCounters &counters() const { return m_counters; }
+    /** @return why place() has refused a hedge, if it has since the last call */
+    std::optional<HedgeRefusal> takeHedgeRefusal()
+    {
+        return std::exchange(m_hedgeRefusal, std::nullopt);
+    }
     std::size_t targetCount() const { return m_targets.size(); }
     /** @return the service times of targets that are idle and not slowed down */
     const ServiceTimes &serviceTimes() const { return m_serviceTimes; }
@@ -306,6 +313,17 @@
      */
     std::optional<OtherZone> spill(const PlacementRequest &request, const Decision &decision,
                                    TimePoint now);
+    /** Grants or refuses a hedge at once. */
+    Outcome placeHedge(const PlacementRequest &request, TimePoint now);
+    /** @return the best free target for a hedge, of the requesting host's zone if possible */
+    std::optional<Candidate> pickForHedge(const PlacementRequest &request, TimePoint now);
+    HedgeSituation hedgeSituation(const PlacementRequest &request, TimePoint now) const;
+    /** @return requests in flight as a share of the slots that the placing host may fill */
+    Share utilization(TimePoint now) const;
+    /** Records that an attempt was cancelled because its hedge was answered. */
+    void recordOvertaken(TargetState &target, const Grant &grant, Microseconds time);
+    /** @return see Placement::hedgeAfter */
+    Milliseconds hedgeAfter(const PlacementRequest &request) const;
     /** Checks the retry budget, and counts the attempt. */
     std::optional<Refusal> checkRetryBudget(const PlacementRequest &request, RetryBudget &budget,
                                             TimePoint now);
@@ -386,6 +404,8 @@
     std::vector<PlacementRequest> m_evicted;
     RetryBudget m_retryBudget;
     RetryBudget m_fallbackRetryBudget;
+    HedgingPolicy m_hedging;
+    std::optional<HedgeRefusal> m_hedgeRefusal;
     CrashSuspects &m_suspects;
     std::vector<RolloutSample> m_rolloutSamples;
     ServiceTimes m_serviceTimes;
--- a/include/endivedock/balancing/target_choice.h
+++ b/include/endivedock/balancing/target_choice.h
@@ -26,6 +26,8 @@
     Milliseconds expectedTime{0};
     /** For the log: age of the target's last slowdown report. */
     Milliseconds slowdownAge{0};
+    /** See Placement::hedgeAfter. */
+    Milliseconds hedgeAfter{0};
 };
 
 /** The outcome of a request that waited in the queue. */
@@ -53,6 +55,8 @@
     std::uint64_t refusals = 0;
     /** Retries that the retry budget allowed. */
     std::uint64_t retries = 0;
+    /** Hedges that this host granted. */
+    std::uint64_t hedges = 0;
     std::uint64_t probes = 0;
     /** Requests that this host, as the placing host of a zone, passed on to another zone. */
     std::uint64_t spilled = 0;
