gateway: tests of hedges wait for what happens, not for a time

Change: a test waits until no attempt is open, and what must come later is 300 ms later. One test's order was wrong as the hedge could answer before the first attempt was lost. Nothing is checked less.

--- a/tests/gateway/hedging_test.cpp
+++ b/tests/gateway/hedging_test.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Milliseconds hedgeAfter{20};
+/** Long after a hedge has been started, also on a busy machine. */
+constexpr Milliseconds slow{300};
 /** Longer than any of the tests waits. */
 constexpr Milliseconds never{60'000};
 
@@ -32,6 +34,8 @@
     Address address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
 
     int requests = 0;
+    /** Requests that have neither been answered nor cancelled. */
+    int open = 0;
     /** Connections that were closed before their response was due. */
     int cancelled = 0;
 
@@ -52,6 +56,7 @@
         if (error)
             co_return;
         ++requests;
+        ++open;
         asio::steady_timer due(socket.get_executor(), m_delay);
         due.async_wait([&socket](const boost::system::error_code &failure) {
             boost::system::error_code ignored;
@@ -60,6 +65,7 @@
         });
         co_await socket.async_read_some(asio::buffer(piece),
                                         asio::redirect_error(asio::use_awaitable, error));
+        --open;
         if (error != asio::error::operation_aborted) {
             ++cancelled;
             due.cancel();
@@ -86,26 +92,36 @@
     Task<std::variant<PlacedTarget, Refusal>> place(PlacementRequest request, TimePoint)
     {
         requests.push_back(request);
+        ++open;
         if (request.firstAttemptAge && placeDelay > Milliseconds(0))
             co_await sleepFor(placeDelay);
-        if (request.firstAttemptAge && refusesHedges)
+        if (request.firstAttemptAge && refusesHedges) {
+            --open;
             co_return Refusal{RefusalReason::RetryBudget, RunCertainty::NotRun};
+        }
         const bool isFirst = request.excludedTargets.empty();
         const std::size_t target = isFirst ? 0 : request.firstAttemptAge ? 1 : 2;
         PlacedTarget placed;
         placed.placement.grant = GrantId(target + 1);
         placed.placement.target = TargetId("t" + std::to_string(target));
-        placed.placement.hedgeAfter = isFirst ? hedgeAfter : Milliseconds(0);
+        placed.placement.hedgeAfter = isFirst ? advisedHedgeAfter : Milliseconds(0);
         placed.address = addresses.at(target);
         placed.connectionLimit = Connections(5);
         co_return placed;
     }
     void abandon(const AttemptId &) {}
     void recordDraining(const AttemptReport &) {}
-    void report(AttemptReport report) { reports.push_back(std::move(report)); }
+    void report(AttemptReport report)
+    {
+        --open;
+        reports.push_back(std::move(report));
+    }
 
     std::vector<Address> addresses;
+    Milliseconds advisedHedgeAfter = hedgeAfter;
     bool refusesHedges = false;
+    /** Attempts that have asked for a placement and have not ended. */
+    int open = 0;
     Milliseconds placeDelay{0};
     std::vector<PlacementRequest> requests;
     std::vector<AttemptReport> reports;
@@ -155,8 +171,12 @@
                                   method + " /bergvik/quotes/x HTTP/1.1\r\nHost: h\r\n"
                                            "Connection: close\r\nContent-Length: 0\r\n\r\n",
                                   giveUpAfter, response));
-        context.restart();
-        context.run_for(Milliseconds(50)); // The attempts end.
+        // All attempts end, and the targets see it.
+        for (int i = 0; i < 400 && placements.open + first.open + hedge.open > 0; ++i) {
+            context.restart();
+            context.run_for(Milliseconds(5));
+        }
+        CPPUNIT_ASSERT_EQUAL(0, placements.open);
         return response;
     }
 
@@ -250,7 +270,7 @@
 
     void firstAttemptWinsAndTheHedgeIsCancelled()
     {
-        Fixture fixture(Milliseconds(80), never);
+        Fixture fixture(slow, never);
         checkResponse("first", fixture.send());
         CPPUNIT_ASSERT(fixture.outcomes()[0] == AttemptOutcome::Answered);
         CPPUNIT_ASSERT(fixture.outcomes()[1] == AttemptOutcome::Overtaken);
@@ -261,13 +281,14 @@
     void answeredRequestsGetNoHedge()
     {
         Fixture fixture(Milliseconds(0), never);
+        fixture.placements.advisedHedgeAfter = slow;
         checkResponse("first", fixture.send());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.placements.requests.size());
     }
 
     void refusedHedgeLeavesTheFirstAttempt()
     {
-        Fixture fixture(Milliseconds(80), never);
+        Fixture fixture(slow, never);
         fixture.placements.refusesHedges = true;
         checkResponse("first", fixture.send());
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.placements.requests.size());
@@ -278,8 +299,8 @@
     /** The placement comes after the answer, and is released unused. */
     void answerWhileTheHedgeIsPlaced()
     {
-        Fixture fixture(Milliseconds(60), never);
-        fixture.placements.placeDelay = Milliseconds(70);
+        Fixture fixture(slow, never);
+        fixture.placements.placeDelay = 2 * slow;
         checkResponse("first", fixture.send());
         CPPUNIT_ASSERT_EQUAL(0, fixture.hedge.requests);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.placements.reports.size());
@@ -288,19 +309,19 @@
 
     void onlyRequestsThatMayBeRepeatedAreHedged()
     {
-        Fixture fixture(Milliseconds(80), Milliseconds(0));
+        Fixture fixture(slow, Milliseconds(0));
         checkResponse("first", fixture.send("POST"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.placements.requests.size());
     }
 
     void attemptsAreNeverExceeded()
     {
-        Fixture one(Milliseconds(80), Milliseconds(0));
+        Fixture one(slow, Milliseconds(0));
         checkResponse("first", one.send("GET", 1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), one.placements.requests.size());
         const std::string failure = "HTTP/1.1 500 Oops\r\nConnection: close\r\n"
                                     "Content-Length: 0\r\n\r\n";
-        Fixture two(Milliseconds(80), Milliseconds(80), failure, failure);
+        Fixture two(slow, slow, failure, failure);
         const std::string response = two.send("GET", 2);
         CPPUNIT_ASSERT_MESSAGE(response, response.starts_with("HTTP/1.1 500"));
         CPPUNIT_ASSERT_EQUAL(0, two.third.requests);
@@ -309,7 +330,7 @@
     void callerThatLeavesEndsBothAttempts()
     {
         Fixture fixture(never, never);
-        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.send("GET", 3, Milliseconds(120)));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fixture.send("GET", 3, slow));
         CPPUNIT_ASSERT_EQUAL(1, fixture.first.cancelled);
         CPPUNIT_ASSERT_EQUAL(1, fixture.hedge.cancelled);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.placements.reports.size());
@@ -321,7 +342,7 @@
     /** A target that loses the connection is as slow as the hedge for the caller. */
     void failedFirstAttemptWaitsForItsHedge()
     {
-        Fixture fixture(Milliseconds(60), Milliseconds(120), "");
+        Fixture fixture(slow, 2 * slow, "");
         checkResponse("hedge", fixture.send());
         CPPUNIT_ASSERT(fixture.outcomes()[0] == AttemptOutcome::ConnectionLost);
         CPPUNIT_ASSERT_EQUAL(0, fixture.third.requests);
@@ -329,7 +350,7 @@
 
     void failedHedgeWaitsForTheFirstAttempt()
     {
-        Fixture fixture(Milliseconds(120), Milliseconds(10), okResponse("first"),
+        Fixture fixture(slow, Milliseconds(10), okResponse("first"),
                         "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
         checkResponse("first", fixture.send());
         CPPUNIT_ASSERT_EQUAL(0, fixture.third.requests);
@@ -337,7 +358,7 @@
 
     void bothFailedAndTheRetryGoesElsewhere()
     {
-        Fixture fixture(Milliseconds(60), Milliseconds(60), "", "");
+        Fixture fixture(slow, slow, "", "");
         checkResponse("third", fixture.send());
         const PlacementRequest &retry = fixture.placements.requests.at(2);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), retry.excludedTargets.size());
@@ -348,7 +369,7 @@
     /** Both responses are too long to be buffered; only one may be written to the caller. */
     void streamedResponseWinsWithItsHead()
     {
-        Fixture fixture(Milliseconds(60), Milliseconds(60), okResponse(std::string(900'000, 'f')),
+        Fixture fixture(slow, slow, okResponse(std::string(900'000, 'f')),
                         okResponse(std::string(900'000, 'h')));
         const std::string response = fixture.send();
         CPPUNIT_ASSERT_EQUAL(1, countOf(response, "HTTP/1.1"));
