--- a/tests/edge/malformed_messages_test.cpp
+++ b/tests/edge/malformed_messages_test.cpp
@@ -79,7 +79,11 @@
     const CrashReport crash{target, ZoneId("a"), Microseconds(5000), Microseconds(90)};
     const CrashRecord record{Fingerprint(4), {crash, crash}, Milliseconds(7), Milliseconds(8)};
     const TargetProcess process{target, {"10.0.0.1", 80}, 1'700'000'000'000};
-    return {CrashRecords{{record}}, DrainingNotice{service, {{process, Milliseconds(20)}}}};
+    const UsageCounts counts{HostId(1),
+                             Incarnation(2),
+                             UsageWindow(355301204),
+                             {{TeamId("alder"), 412}, {TeamId("birch"), 3}}};
+    return {CrashRecords{{record}}, DrainingNotice{service, {{process, Milliseconds(20)}}}, counts};
 }
 
 std::vector<std::string> makeValidMessages()
