usage: include what the receiver's test uses

Cause: clang-tidy, which reads the tests without the precompiled header, found no asio::detached. Change: the include. Conclusion: none besides.

--- a/tests/platform/usage_receiver_test.cpp
+++ b/tests/platform/usage_receiver_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
