usage: no copy of the record for each decision; no repeated writes while the record is gone

Cause: each host copied the record ten times a second. A new term whose record had vanished with an older copy of the store wrote under the old condition again at once, until its copy of the store showed that. Change: a pointer in the view; a pause of 0.3 s in that case. Conclusion: none besides.

--- a/include/endivedock/edge/usage_agent.h
+++ b/include/endivedock/edge/usage_agent.h
@@ -226,15 +226,14 @@
 template <EdgePlatform P>
 UsageView UsageAgent<P>::view()
 {
-    UsageView result{
-            BootClock().now(), timeOfDay(), storedHolder(), std::nullopt, 0, false, m_tally};
+    UsageView result{BootClock().now(), timeOfDay(), storedHolder(), nullptr, 0, false, m_tally};
     const StoreEntry *entry = m_registry.find(recordKey);
     if (entry != nullptr && entry->modRevision != m_parsedRevision) {
         m_parsedRevision = entry->modRevision;
         m_parsedRecord = parse(*entry);
     }
-    if (entry != nullptr)
-        result.record = m_parsedRecord;
+    if (entry != nullptr && m_parsedRecord)
+        result.record = &*m_parsedRecord;
     const auto table = m_registry.table();
     result.canStand = !m_isStopping && table && !table->teams().empty();
     if (result.canStand && !result.holder) {
@@ -252,7 +251,7 @@
     while (true) {
         const bool wasHolder = m_duty.isHolder();
         UsageStep step = m_duty.next(view());
-        co_await std::visit([this](auto &next) { return carryOut(std::move(next)); }, step);
+        co_await std::visit([this](auto &next) { return this->carryOut(std::move(next)); }, step);
         if (wasHolder && !m_duty.isHolder())
             m_log.info("Usage duty ended", {field("token", m_duty.token())});
         logUnreported();
--- a/include/endivedock/usage/usage_duty.h
+++ b/include/endivedock/usage/usage_duty.h
@@ -49,8 +49,8 @@
     Milliseconds timeOfDay{0};
     /** The holder according to this host's copy of the store, which may be old. */
     std::optional<HostId> holder;
-    /** The record according to this host's copy of the store; absent if there was none. */
-    std::optional<StoredUsageRecord> record;
+    /** The record according to this host's copy of the store; null if there is none. */
+    const StoredUsageRecord *record = nullptr;
     /** How many hosts stand for holder before this one. */
     std::size_t rank = 0;
     /** Whether this host serves and has a configuration with teams. */
--- a/src/usage/usage_duty.cpp
+++ b/src/usage/usage_duty.cpp
@@ -279,6 +279,8 @@
     m_writing.reset();
     m_record = stored ? std::move(stored->record) : UsageRecord{};
     m_recordRevision = stored ? stored->revision : Revision(0);
+    if (!stored) // This host's copy of the store has yet to show that the record is gone.
+        m_nextWriteAt = now + storeRetryDelay;
 }
 
 void UsageDuty::recordWriteUnknown(TimePoint now)
--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -194,7 +194,7 @@
         const UsageView view{now,
                              timeOfDay() + host.clockOffset,
                              copy.holder,
-                             copy.record,
+                             copy.record ? &*copy.record : nullptr,
                              id.value() - 1,
                              true,
                              host.tally};
