usage: the process test lets the store come back from a copy without the record

Cause: two hosts that hold the duty at once, with real processes, had no test. Change: scenario older_copy of usage_duty.

--- a/tests/faulty_store/usage_duty.py
+++ b/tests/faulty_store/usage_duty.py
@@ -4,6 +4,7 @@
 
 holders     kills the host that holds the duty, and pauses the next one for longer than its lease
 collectors  kills the three hosts that collect the counts of all others, and starts them again
+older_copy  lets the store come back from a copy made before any host held the duty
 
 The store, the receiver of reports and the targets are stand-ins in this process. The program ends
 only processes that it started.
@@ -28,6 +29,8 @@
 # Requests that a killed host ran and had not yet told others of, as a share of all.
 MAX_LOST_SHARE = 0.05
 WAIT_S = 60
+# Hosts that hold the duty one after the other.
+MIN_HOLDERS = {"holders": 3, "collectors": 1, "older_copy": 2}
 
 
 class TeamRecord(Record):
@@ -69,15 +72,21 @@
         return file.read()
 
 
+def terms(hosts):
+    """Returns the tokens of all terms so far."""
+    return [int(token) for host in hosts
+            for token in re.findall(r"Usage duty held token=(\d+)", log_of(host))]
+
+
 def holder_among(hosts):
     """Returns the host whose term has the highest token, if it has not ended."""
-    terms = []
+    held = []
     for host in hosts:
         text = log_of(host)
         begun = re.findall(r"Usage duty held token=(\d+)", text)
         if begun and f"Usage duty ended token={begun[-1]}" not in text:
-            terms.append((int(begun[-1]), host))
-    return max(terms, key=lambda term: term[0])[1] if terms else None
+            held.append((int(begun[-1]), host))
+    return max(held, key=lambda term: term[0])[1] if held else None
 
 
 async def wait_until(condition, seconds=WAIT_S):
@@ -142,6 +151,8 @@
         target.address = f"127.0.0.1:{port}"
         await store.put(f"servers/i-{number}", target.registry_entry())
     await store.put("op/config", configuration())
+    store.era = 0
+    store.copy()
     ports = pick_ports()
     for number in range(HOSTS):
         host = Host(number, store_port, directory, ports)
@@ -161,13 +172,15 @@
         return "no host holds the duty"
     state = {"stopping": False, "sent": 0}
     # Those that serve requests when the collectors are killed stay alive.
-    serving = hosts if scenario == "holders" else hosts[COLLECTORS:]
+    serving = hosts[COLLECTORS:] if scenario == "collectors" else hosts
     sending = asyncio.ensure_future(send_requests(list(serving), state))
     if not await wait_until(lambda: sum(sum(counts.values())
                                         for counts in receiver.counts.values()) > 100):
         return "no window was reported"
     receiver.loss_rate = 0.3
-    failure = await {"holders": disturb_holders, "collectors": restart_collectors}[scenario](hosts)
+    scenarios = {"holders": disturb_holders, "collectors": restart_collectors,
+                 "older_copy": return_from_copy}
+    failure = await scenarios[scenario](hosts, store)
     if failure:
         return failure
     await asyncio.sleep(2 * WINDOW_S)
@@ -176,10 +189,10 @@
     last = int(time.time() / WINDOW_S)
     if not await wait_until(lambda: last in receiver.counts):
         return f"window {last} was not reported"
-    return judge(receiver, record, hosts, 3 if scenario == "holders" else 1)
+    return judge(receiver, record, hosts, MIN_HOLDERS[scenario])
 
 
-async def disturb_holders(hosts):
+async def disturb_holders(hosts, _):
     killed = holder_among(hosts)
     killed.signal(signal.SIGKILL)
     killed.process.wait()
@@ -194,7 +207,7 @@
     return None if taken_over else "no host took over from the paused one"
 
 
-async def restart_collectors(hosts):
+async def restart_collectors(hosts, _):
     for host in hosts[:COLLECTORS]:
         host.signal(signal.SIGKILL)
     for host in hosts[:COLLECTORS]:
@@ -204,6 +217,13 @@
     return None if await wait_until(lambda: holder_among(hosts)) else "no host took over"
 
 
+async def return_from_copy(hosts, store):
+    token = max(terms(hosts))
+    await store.restore()
+    # The holder's key is gone as well, so that two hosts hold the duty for a moment.
+    return None if await wait_until(lambda: max(terms(hosts)) > token) else "no new term began"
+
+
 def judge(receiver, record, hosts, min_holders):
     reported = collections.Counter()
     for counts in receiver.counts.values():
