usage: short leases leave room for calls

Cause: with a lease of 0.6 s or less a holder never wrote a record. Change: the room for a call is a quarter of the lease at most. Conclusion: nothing changes for leases of 2.4 s and more.

--- a/include/endivedock/usage/usage_duty.h
+++ b/include/endivedock/usage/usage_duty.h
@@ -161,7 +161,10 @@
      * requests have ended then, and the store may be away for most of the remaining time.
      */
     static constexpr double recordAfter = 0.2;
-    /** A call to the receiver or the store begins only if the lease runs this much longer. */
+    /**
+     * A call to the receiver or the store begins only if the lease runs this much longer, or a
+     * quarter of a shorter lease.
+     */
     static constexpr Milliseconds callRoom{600};
     static constexpr Milliseconds maxJitter{4000};
 
--- a/src/usage/usage_duty.cpp
+++ b/src/usage/usage_duty.cpp
@@ -150,7 +150,8 @@
         return usage_step::RenewLease{};
     const usage_step::Wait wait{pollInterval};
     // A host that was paused wakes here with a lease that may have run out meanwhile.
-    if (view.now + callRoom >= m_leaseSentAt + m_settings.lease)
+    const Milliseconds room = std::min(callRoom, m_settings.lease / 4);
+    if (view.now + room >= m_leaseSentAt + m_settings.lease)
         return wait;
     if (view.now >= m_nextWriteAt) {
         if (auto step = nextRecord(view))
--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -286,6 +286,7 @@
     CPPUNIT_TEST(anotherHostTakesOverFromAKilledOne);
     CPPUNIT_TEST(aPausedHolderSendsNothingWhenItWakes);
     CPPUNIT_TEST(aHolderWithoutTheStoreSendsNothingAfterItsLease);
+    CPPUNIT_TEST(shortLeasesLeaveRoomForCalls);
     CPPUNIT_TEST(aStoppedHolderHandsOverAtOnce);
     CPPUNIT_TEST(aLostAnswerIsFollowedByTheSameReport);
     CPPUNIT_TEST(aReportThatIsCarriedOutLateIsFenced);
@@ -358,6 +359,17 @@
         CPPUNIT_ASSERT(fleet.isReported(5));
     }
 
+    void shortLeasesLeaveRoomForCalls()
+    {
+        UsageSettings shortLease = settings;
+        shortLease.lease = Milliseconds(500);
+        UsageDuty duty(HostId(1), shortLease, startOfDay, Milliseconds(0));
+        duty.recordClaimed(TimePoint{});
+        const UsageTally tally;
+        const UsageView view{TimePoint{}, startOfDay, HostId(1), nullptr, 0, true, tally};
+        CPPUNIT_ASSERT(std::holds_alternative<usage_step::WriteRecord>(duty.next(view)));
+    }
+
     void aStoppedHolderHandsOverAtOnce()
     {
         Fleet fleet(5);
