--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -10,14 +10,6 @@
 
 namespace edge_detail {
 
-/** Interval between the load reports of one host in a small fleet. */
-constexpr Milliseconds loadReportInterval{100};
-/**
- * In a larger fleet, loadReportInterval is multiplied by the number of hosts divided by this, up to
- * maxLoadReportInterval.
- */
-constexpr std::size_t smallFleetSize = 20;
-constexpr Milliseconds maxLoadReportInterval{500};
 /**
  * Interval of runPeriodicTasks(), which places waiting requests, starts probes, and sends load
  * reports when they are due.
@@ -110,6 +102,7 @@
     , m_zones(m_self, m_peers, m_placement)
     , m_rollouts(m_executor, m_self, m_writeStore, m_registry, m_peers, m_placement, m_aggregator)
     , m_restorer(m_executor, m_self, m_writeStore, m_registry, m_peers, m_random)
+    , m_loadReporter(m_self, m_peers, m_placement, m_aggregator, m_rollouts)
     , m_prober(m_executor, &P::parseProbeResponse,
                [this](const ServiceId &service, const TargetId &target,
                       const std::variant<ProbeResult, ProbeFailure> &outcome) {
@@ -371,80 +364,29 @@
             m_peers.broadcast(notice);
         if (now < nextReportAt)
             continue;
-        nextReportAt = now + loadReportInterval();
+        nextReportAt = now + m_loadReporter.interval();
         if (m_isReadingStore && now >= m_nextNoticeAt)
             broadcastNotice();
         if (m_registry.removeExpiredEntries(now))
             applyRegistryChange();
         m_rollouts.updateCapacities(now);
         m_aggregator.tick(now);
-        sendLoadReports(now);
+        m_loadReporter.sendReports(now);
         m_rollouts.writeFinalStatuses(now);
         m_crashArchive.tick(now);
         m_restorer.tick(now);
     }
 }
 
-template <EdgePlatform P>
-HostLoadReport EdgeHost<P>::makeLoadReport(const std::vector<ServiceId> &services,
-                                           HostId placingHost, TimePoint now)
-{
-    HostLoadReport loadReport;
-    for (const auto &service : services) {
-        ServiceBalancer *balancer = m_placement.find(service);
-        ServiceLoadReport entry;
-        entry.service = service;
-        entry.targets = balancer->loadReport(placingHost, now);
-        entry.rolloutSamples = balancer->takeRolloutSamples();
-        entry.rollout = m_rollouts.progress(service);
-        loadReport.services.push_back(std::move(entry));
-    }
-    return loadReport;
-}
-
-template <EdgePlatform P>
-void EdgeHost<P>::sendLoadReports(TimePoint now)
-{
-    std::map<HostId, std::vector<ServiceId>> byPlacingHost;
-    for (const auto &[service, balancer] : m_placement.balancers())
-        byPlacingHost[m_peers.placingHost(service, now)].push_back(service);
-    for (const auto &[host, services] : byPlacingHost) {
-        const HostLoadReport loadReport = makeLoadReport(services, host, now);
-        if (host == m_self) {
-            applyAggregatedLoad(aggregateLoad(m_self, loadReport, now), now);
-            continue;
-        }
-        m_peers.recordRequest(host, now);
-        m_peers.sendDivided(host, loadReport);
-    }
-}
-
-template <EdgePlatform P>
-AggregatedLoad EdgeHost<P>::aggregateLoad(HostId from, const HostLoadReport &loadReport,
-                                          TimePoint now)
-{
-    AggregatedLoad aggregated;
-    for (const auto &service : loadReport.services) {
-        std::vector<TargetLoad> grantedLoads;
-        ServiceBalancer *balancer = m_placement.find(service.service);
-        if (balancer != nullptr && from != m_self)
-            grantedLoads = balancer->grantedLoads(from, now);
-        aggregated.services.push_back(m_aggregator.applyReport(from, service, grantedLoads, now));
-        if (balancer != nullptr && from != m_self)
-            aggregated.services.back().serviceTimes = balancer->serviceTimes().shared();
-    }
-    return aggregated;
-}
-
 template <EdgePlatform P>
 void EdgeHost<P>::handle(const PeerHeader &header, const EdgeMessage &message)
 {
     const TimePoint now = SteadyClock().now();
     if (const auto *loadReport = std::get_if<HostLoadReport>(&message)) {
-        m_peers.sendDivided(header.sender, aggregateLoad(header.sender, *loadReport, now));
+        m_loadReporter.handle(header.sender, *loadReport, now);
     } else if (const auto *aggregated = std::get_if<AggregatedLoad>(&message)) {
         m_peers.recordResponse(header.sender, now);
-        applyAggregatedLoad(*aggregated, now);
+        m_loadReporter.apply(*aggregated, now);
     } else if (const auto *notice = std::get_if<RegistryNotice>(&message)) {
         handleNotice(header.sender, *notice, now);
     } else if (const auto *delta = std::get_if<RegistryDelta>(&message)) {
@@ -498,28 +440,6 @@
         m_peers.send(from, records);
 }
 
-template <EdgePlatform P>
-void EdgeHost<P>::applyAggregatedLoad(const AggregatedLoad &aggregated, TimePoint now)
-{
-    for (const auto &service : aggregated.services) {
-        if (ServiceBalancer *balancer = m_placement.find(service.service)) {
-            balancer->applyAggregatedLoad(service.targets, service.range, now);
-            balancer->adoptServiceTimes(service.serviceTimes);
-        }
-        if (service.rollout)
-            m_rollouts.applyProgress(service.service, *service.rollout);
-    }
-}
-
-template <EdgePlatform P>
-Milliseconds EdgeHost<P>::loadReportInterval() const
-{
-    const auto factor =
-            static_cast<std::int64_t>(m_peers.hostCount() / edge_detail::smallFleetSize);
-    return std::min(edge_detail::maxLoadReportInterval,
-                    edge_detail::loadReportInterval * std::max<std::int64_t>(factor, 1));
-}
-
 template <EdgePlatform P>
 void EdgeHost<P>::handleNotice(HostId from, const RegistryNotice &notice, TimePoint now)
 {
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -4,6 +4,7 @@
 #include "endivedock/edge/edge_message.h"
 #include "endivedock/edge/edge_peers.h"
 #include "endivedock/edge/edge_settings.h"
+#include "endivedock/edge/load_reporter.h"
 #include "endivedock/edge/platform_concept.h"
 #include "endivedock/edge/registry_source_selector.h"
 #include "endivedock/edge/rollout_agent.h"
@@ -97,13 +98,7 @@
     void recordStoreSuccess();
     void recordStoreFailure(const std::string &error);
     void applyRegistryChange();
-    void sendLoadReports(TimePoint now);
-    HostLoadReport makeLoadReport(const std::vector<ServiceId> &services, HostId placingHost,
-                                  TimePoint now);
-    AggregatedLoad aggregateLoad(HostId from, const HostLoadReport &loadReport, TimePoint now);
-    Milliseconds loadReportInterval() const;
     void handle(const PeerHeader &header, const EdgeMessage &message);
-    void applyAggregatedLoad(const AggregatedLoad &aggregated, TimePoint now);
     void shareCrashRecords(TimePoint now);
     void handleCrashRecords(HostId from, const CrashRecords &message, TimePoint now);
     void startProbes(TimePoint now);
@@ -132,6 +127,7 @@
     CrashArchive<P> m_crashArchive;
     ZoneAgent m_zones;
     RolloutAgent<P> m_rollouts;
+    LoadReporter<P> m_loadReporter;
     StoreRestorer<P> m_restorer;
     /** Absent if usage is not reported. */
     std::optional<UsageAgent<P>> m_usage;
