--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -127,10 +127,10 @@
     CrashArchive<P> m_crashArchive;
     ZoneAgent m_zones;
     RolloutAgent<P> m_rollouts;
-    LoadReporter<P> m_loadReporter;
     StoreRestorer<P> m_restorer;
     /** Absent if usage is not reported. */
     std::optional<UsageAgent<P>> m_usage;
+    LoadReporter<P> m_loadReporter;
     TargetProber m_prober;
     Gateway m_gateway;
     HttpServer m_readinessServer;
