--- a/include/endivedock/zones/room_of_zones.h
+++ b/include/endivedock/zones/room_of_zones.h
@@ -10,11 +10,11 @@
 
 /**
  * What the placing host of one zone knows of the room in the other placing zones, and what part of
- * it this zone may still take. All zones may take an equal part of little more than the
- * free slots that a zone states, so that they hardly fill the same slots at once. What is taken
- * counts until the zone states its room again. Requests therefore spill in steps and to the zone
- * with most room, and since each request is first offered to its own zone, they come back as soon
- * as there is room.
+ * it this zone may still take. Each zone may take an equal part of 1.5 times the
+ * free slots that a zone states, so that together they hardly fill the same slots at once. What is
+ * taken counts until the zone states its room again. Requests therefore spill in steps and to the
+ * zone with most room, and since each request is first offered to its own zone, they come back as
+ * soon as there is room.
  */
 class RoomOfZones
 {
