keys: callers of endivedockd have keys; the log says why a key was refused

Cause: callers were known by their keys on endivedock-edge only, and the log of a request that got 401 did not say why.

Change: the declarations hold digests of the keys of a team's callers; `endivedockctl key add|withdraw|list` changes them, and a drawn key is printed once and stored nowhere. As soon as a team has a list, also an empty one, requests need a key, and the target learns the caller's team from `Calling-Team`, which callers cannot set. identifyCaller() serves both front ends. A refusal has a detail for the log: no key, malformed, or unknown with a tag, the first bytes of a hash keyed for each process.

Conclusion: a withdrawal reaches hosts of endivedockd in touch like any change; the bound for hosts that are cut off is not built there.

--- a/daemons/endivedockctl.cpp
+++ b/daemons/endivedockctl.cpp
@@ -120,6 +120,23 @@
         co_return co_await reportAcceptedRevision(revision);
     }
 
+    Task<int> addCallerKey()
+    {
+        const std::string key = drawKey();
+        const Revision revision =
+                co_await m_operator.addCallerKey(TeamId(m_arguments.firstPositional), key);
+        // Only the digest is stored, so the key is shown once.
+        std::cout << "key " << key << "\ndigest " << digestOf(key) << "\n";
+        co_return co_await reportAcceptedRevision(revision);
+    }
+
+    Task<int> withdrawCallerKey()
+    {
+        const Revision revision = co_await m_operator.withdrawCallerKey(
+                TeamId(m_arguments.firstPositional), m_arguments.secondPositional);
+        co_return co_await reportAcceptedRevision(revision);
+    }
+
     Task<int> printRolloutStatus()
     {
         const std::string key = rolloutKey(ServiceId(m_arguments.firstPositional));
@@ -297,6 +314,7 @@
         addParameters();
         addZones();
         addRollouts();
+        addCallerKeys();
         addFiles();
         auto *status = addCommand(m_app, "status", "Print whether the newest change is in force",
                                   [](Command &command) { return command.status(); });
@@ -401,6 +419,26 @@
                 ->required();
     }
 
+    void addCallerKeys()
+    {
+        CLI::App *keys = addGroup("key", "Keys of a tenant's callers");
+        addCommand(*keys, "add", "Draw a key, store its digest and print the key once",
+                   [](Command &command) { return command.addCallerKey(); })
+                ->add_option("tenant", m_arguments.firstPositional)
+                ->required();
+        CLI::App *withdraw = addCommand(
+                *keys, "withdraw", "Withdraw a key, named by the first characters of its digest",
+                [](Command &command) { return command.withdrawCallerKey(); });
+        withdraw->add_option("tenant", m_arguments.firstPositional)->required();
+        withdraw->add_option("digest", m_arguments.secondPositional)->required();
+        addCommand(*keys, "list", "Print the digests of a tenant's keys",
+                   [this](Command &command) {
+                       return command.get(callerKeysKey(TeamId(m_arguments.firstPositional)));
+                   })
+                ->add_option("tenant", m_arguments.firstPositional)
+                ->required();
+    }
+
     void addFiles()
     {
         addCommand(m_app, "check", "Validate files without applying them",
--- a/include/endivedock/config/declarations.h
+++ b/include/endivedock/config/declarations.h
@@ -3,6 +3,7 @@
 #include "endivedock/config/messages.h"
 #include "endivedock/core.h"
 #include "endivedock/json.h"
+#include "endivedock/teams.h"
 
 #include <map>
 #include <optional>
@@ -128,6 +129,11 @@
     std::map<TemplateId, ServiceTemplate> templates;
     std::map<TeamId, TeamParameters> teams;
     std::map<ServiceId, Service> services;
+    /**
+     * The teams whose callers have keys. If there are any, each request needs a key; a team may
+     * call services of all teams.
+     */
+    TeamDirectory callers;
 
     /** @return the service, or null; the pointer is valid as long as this object */
     const Service *find(const ServiceId &id) const;
@@ -137,6 +143,14 @@
 ServiceTemplate parseTemplate(const JsonNode &node);
 /** Parses a team's parameters. @throws JsonError if @p node does not hold valid parameters */
 TeamParameters parseTeamParameters(const JsonNode &node);
+/**
+ * Parses the digests of the keys of one team's callers.
+ *
+ * @throws JsonError if @p node does not hold a list of digests
+ */
+std::vector<std::string> parseCallerKeys(const JsonNode &node);
+/** @return the JSON text of digests that parseCallerKeys() reads */
+std::string formatCallerKeys(const std::vector<std::string> &digests);
 /**
  * @return whether @p node, which holds a zone's state, says that the zone is evacuated
  * @throws JsonError if @p node does not hold a valid state
--- a/include/endivedock/config/keys.h
+++ b/include/endivedock/config/keys.h
@@ -15,11 +15,13 @@
 
 std::string templateKey(const TemplateId &id);
 std::string teamParametersKey(const TeamId &team);
+/** Key of the digests of the keys of a team's callers. */
+std::string callerKeysKey(const TeamId &team);
 std::string zoneKey(const TeamId &team, const ZoneId &zone);
 /** @param service  id of the form "tenant/service" */
 std::string rolloutKey(const ServiceId &service);
 
-enum class DeclarationKind { Template, Parameters, Zone, Rollout };
+enum class DeclarationKind { Template, Parameters, CallerKeys, Zone, Rollout };
 
 /** The parts of a declaration's key. */
 struct DeclarationKey
@@ -27,7 +29,7 @@
     DeclarationKind kind;
     /** Name of the template, or id of the team. */
     std::string owner;
-    /** Name of the zone or service; empty for templates and parameters. */
+    /** Name of the zone or service; empty for the other kinds. */
     std::string name;
 };
 
--- a/include/endivedock/control/operator_store.h
+++ b/include/endivedock/control/operator_store.h
@@ -64,6 +64,26 @@
      */
     Task<Revision> rollBack(ServiceId service);
 
+    /**
+     * Adds a key for the callers of a team. Only its digest is stored.
+     *
+     * @param key  as callers will send it
+     * @return the revision of the change
+     * @throws ConflictError, StoreUnavailable  as apply()
+     */
+    Task<Revision> addCallerKey(TeamId team, std::string key);
+    /**
+     * Withdraws a key of the callers of a team.
+     *
+     * @param digestPrefix  first characters of the key's digest, at least minDigestPrefix
+     * @return the revision of the change
+     * @throws ChangeError if not exactly one key of the team has a digest that begins so
+     * @throws ConflictError, StoreUnavailable  as apply()
+     */
+    Task<Revision> withdrawCallerKey(TeamId team, std::string digestPrefix);
+
+    static constexpr std::size_t minDigestPrefix = 8;
+
 private:
     Task<std::string> describeConflict(StoreEntry current);
 
--- a/include/endivedock/core/refusal.h
+++ b/include/endivedock/core/refusal.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace endivedock {
@@ -60,6 +61,9 @@
     RunCertainty certainty = RunCertainty::MayHaveRun;
     /** Delay after which a retry may succeed; absent if no specific delay is known. */
     std::optional<Milliseconds> retryAfter = std::nullopt;
+    /** What the reason does not say, for the log of this host; sent neither to callers nor hosts.
+     */
+    std::string detail = {};
 
     bool operator==(const Refusal &) const = default;
 };
--- a/include/endivedock/gateway.h
+++ b/include/endivedock/gateway.h
@@ -9,6 +9,7 @@
 #include "endivedock/gateway/attempt_policy.h"
 #include "endivedock/gateway/attempt_runner.h"
 #include "endivedock/gateway/caller_connection.h"
+#include "endivedock/gateway/caller_identity.h"
 #include "endivedock/gateway/caller_session.h"
 #include "endivedock/gateway/gateway_server.h"
 #include "endivedock/gateway/http_message.h"
@@ -18,3 +19,4 @@
 #include "endivedock/gateway/target_connection.h"
 #include "endivedock/gateway/target_connection_pool.h"
 #include "endivedock/gateway/target_pause.h"
+#include "endivedock/gateway/team_counters.h"
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -240,6 +240,7 @@
     }
     m_context.metrics.count("endivedock_requests_total",
                             {{"service", request->plan.service.value()}});
+    m_teamCounters.count(m_context.metrics, request->plan.team);
     const std::string_view start(request->bufferedBody.data(), request->bufferedBody.size());
     request->fingerprint = fingerprintOf(request->plan, request->head.method, start);
     if (request->isBodyBuffered)
@@ -457,6 +458,7 @@
     m_log.info("Request refused",
                {field("request", request->plan.callerRequestId), field("id", request->id),
                 field("service", request->plan.service), field("reason", description.name),
+                field("detail", refusal.detail), field("team", request->plan.team),
                 field("run", notRun ? "not-run" : "may-have-run"),
                 field("content", request->fingerprint), field("status", response.head.status),
                 field("retry_after_ms", refusal.retryAfter.value_or(Milliseconds(0)).count()),
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/config.h"
 #include "endivedock/gateway/attempt_runner.h"
+#include "endivedock/gateway/team_counters.h"
 #include "endivedock/telemetry.h"
 
 #include <concepts>
@@ -119,6 +120,7 @@
     AttemptRunner<F, P> m_attempts;
     std::set<CallerSession *> m_sessions;
     TimePoint m_lastArrival;
+    TeamCounters m_teamCounters;
     GatewayShutdown m_shutdown;
     Log m_log{"gateway"};
 };
--- a/include/endivedock/gateway/http_message.h
+++ b/include/endivedock/gateway/http_message.h
@@ -90,6 +90,8 @@
 constexpr std::string_view loadReportField = "endpoint-load-metrics";
 
 constexpr std::string_view authorizationField = "Authorization";
+/** Team of the caller, for the target; set only if callers have keys. */
+constexpr std::string_view callingTeamField = "Calling-Team";
 /** Tells the caller how to authenticate. */
 constexpr std::string_view challengeField = "WWW-Authenticate";
 constexpr std::string_view bearerScheme = "Bearer";
--- a/src/config/declarations.cpp
+++ b/src/config/declarations.cpp
@@ -137,6 +137,15 @@
         service->second.rollout = std::move(rollout);
 }
 
+TeamDirectory makeCallerDirectory(const std::vector<TeamKeys> &callers)
+{
+    try {
+        return TeamDirectory(callers, KeyForm::Digest);
+    } catch (const TeamKeyError &error) {
+        throw ConfigurationError(error.what());
+    }
+}
+
 } // namespace
 
 std::optional<std::size_t> Service::ruleIndexFor(std::string_view method,
@@ -210,6 +219,26 @@
     return result;
 }
 
+std::vector<std::string> parseCallerKeys(const JsonNode &node)
+{
+    node.expectOnlyFields({"digests"});
+    std::vector<std::string> result;
+    for (const auto &digest : node.list("digests")) {
+        result.push_back(digest.asString());
+        if (!isDigest(result.back()))
+            digest.fail("a digest of 64 hexadecimal digits");
+    }
+    return result;
+}
+
+std::string formatCallerKeys(const std::vector<std::string> &digests)
+{
+    boost::json::array list;
+    for (const auto &digest : digests)
+        list.emplace_back(digest);
+    return boost::json::serialize(boost::json::object{{"digests", list}});
+}
+
 bool parseZoneEvacuated(const JsonNode &node)
 {
     node.expectOnlyFields({"state"});
@@ -267,6 +296,7 @@
     result.revision = snapshot.revision;
     std::vector<std::pair<DeclarationKey, bool>> zones;
     std::vector<Rollout> rollouts;
+    std::vector<TeamKeys> callers;
     for (const auto &entry : snapshot.entries) {
         const auto key = parseDeclarationKey(entry.key);
         if (!key)
@@ -284,6 +314,9 @@
             result.teams[parsed.team] = std::move(parsed);
             break;
         }
+        case DeclarationKind::CallerKeys:
+            callers.push_back({{TeamId(key->owner), std::nullopt}, parseCallerKeys(node)});
+            break;
         case DeclarationKind::Zone:
             zones.emplace_back(*key, parseZoneEvacuated(node));
             break;
@@ -293,6 +326,7 @@
         }
     }
     resolveServices(result);
+    result.callers = makeCallerDirectory(callers);
     for (const auto &[key, isEvacuated] : zones)
         applyZoneState(result, key, isEvacuated);
     for (auto &rollout : rollouts)
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -29,6 +29,11 @@
     return withDeclarationPrefix(teamPrefix(team.value()) + "parameters");
 }
 
+std::string callerKeysKey(const TeamId &team)
+{
+    return withDeclarationPrefix(teamPrefix(team.value()) + "keys");
+}
+
 std::string zoneKey(const TeamId &team, const ZoneId &zone)
 {
     return withDeclarationPrefix(teamPrefix(team.value()) + "zones/" + zone.value());
@@ -59,6 +64,8 @@
     key.remove_prefix(slash + 1);
     if (key == "parameters")
         return DeclarationKey{DeclarationKind::Parameters, team, ""};
+    if (key == "keys")
+        return DeclarationKey{DeclarationKind::CallerKeys, team, ""};
     if (key.starts_with("zones/"))
         return DeclarationKey{DeclarationKind::Zone, team, std::string(key.substr(6))};
     if (key.starts_with("moves/"))
--- a/src/control/operator_store.cpp
+++ b/src/control/operator_store.cpp
@@ -47,6 +47,17 @@
     return std::nullopt;
 }
 
+std::vector<std::string> callerKeys(const StoreSnapshot &snapshot, const TeamId &team)
+{
+    for (const auto &entry : snapshot.entries) {
+        if (entry.key != callerKeysKey(team))
+            continue;
+        const auto value = parseJson(entry.value, entry.key);
+        return parseCallerKeys(JsonNode(value, entry.key));
+    }
+    return {};
+}
+
 Declarations parseSnapshot(const StoreSnapshot &snapshot)
 {
     ConfigurationSnapshot configuration{snapshot.revision, {}};
@@ -140,4 +151,30 @@
     co_return co_await apply(current, std::move(desired));
 }
 
+Task<Revision> OperatorStore::addCallerKey(TeamId team, std::string key)
+{
+    const StoreSnapshot current = co_await fetchDeclarations();
+    std::vector<std::string> digests = callerKeys(current, team);
+    digests.push_back(digestOf(key));
+    std::vector<Declaration> desired{{callerKeysKey(team), formatCallerKeys(digests), "key add"}};
+    co_return co_await apply(current, std::move(desired));
+}
+
+Task<Revision> OperatorStore::withdrawCallerKey(TeamId team, std::string digestPrefix)
+{
+    const StoreSnapshot current = co_await fetchDeclarations();
+    std::vector<std::string> digests = callerKeys(current, team);
+    const auto removed = std::erase_if(digests, [&](const std::string &digest) {
+        return digestPrefix.size() >= minDigestPrefix && digest.starts_with(digestPrefix);
+    });
+    if (removed != 1)
+        throw ChangeError(std::to_string(removed) + " keys of " + team.value() +
+                          " have a digest that begins with " + digestPrefix + "; give at least " +
+                          std::to_string(minDigestPrefix) + " characters of one");
+    // An empty list stays: without any list of keys, requests would need none.
+    std::vector<Declaration> desired{
+            {callerKeysKey(team), formatCallerKeys(digests), "key withdraw"}};
+    co_return co_await apply(current, std::move(desired));
+}
+
 } // namespace endivedock
--- a/src/gateway/front_end.cpp
+++ b/src/gateway/front_end.cpp
@@ -35,6 +35,12 @@
 void NativeFrontEnd::setRequestFields(HeaderFields &fields, const RequestPlan &plan,
                                       const AttemptContext &attempt, RequestId id) const
 {
+    if (plan.hidesCallerKey)
+        std::erase_if(fields, [](const HeaderField &field) {
+            return isNamed(field, authorizationField) || isNamed(field, callingTeamField);
+        });
+    if (!plan.team.value().empty())
+        setField(fields, callingTeamField, plan.team.value());
     const std::int64_t timeLeft = std::max<std::int64_t>(attempt.timeLeft.count(), 0);
     setField(fields, timeoutField, std::to_string(timeLeft));
     setField(fields, requestIdField, sentRequestId(plan, id));
--- a/src/gateway/request_plan.cpp
+++ b/src/gateway/request_plan.cpp
@@ -1,5 +1,7 @@
 #include "endivedock/gateway/request_plan.h"
 
+#include "endivedock/gateway/caller_identity.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -77,6 +79,10 @@
 {
     if (declarations == nullptr)
         return notRunRefusal(RefusalReason::NoConfiguration);
+    const TeamDirectory &callers = declarations->callers;
+    const CallerIdentity caller = identifyCaller(head.fields, callers);
+    if (!callers.empty() && caller.team == nullptr)
+        return Refusal{RefusalReason::Unauthenticated, RunCertainty::NotRun, {}, caller.failure};
     const auto path = splitPath(head.path);
     const Service *service = path ? declarations->find(path->service) : nullptr;
     if (service == nullptr)
@@ -92,6 +98,9 @@
         return notRunRefusal(RefusalReason::BodyTooLarge);
 
     RequestPlan plan;
+    if (caller.team != nullptr)
+        plan.team = caller.team->id;
+    plan.hidesCallerKey = !callers.empty();
     plan.service = service->id;
     plan.authority = service->id.value();
     plan.targetPath = path->rest;
--- a/tests/config/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(errorsNameTheJsonPointer);
     CPPUNIT_TEST(ignoresOlderSnapshots);
     CPPUNIT_TEST(keepsLastValidSnapshot);
+    CPPUNIT_TEST(callerKeysAreHeldAsDigests);
     CPPUNIT_TEST(rolloutsRoundTripThroughJson);
     CPPUNIT_TEST_SUITE_END();
 
@@ -55,6 +56,25 @@
         CPPUNIT_ASSERT(service->ruleFor("GET", "/acceptances/1").isIdempotent);
     }
 
+    void callerKeysAreHeldAsDigests()
+    {
+        CPPUNIT_ASSERT(parseDeclarations(snapshotAt(5)).callers.empty());
+        const std::string key = callerKeysKey(TeamId("ostra"));
+        const auto withKeys = [&](const std::string &value) {
+            ConfigurationSnapshot snapshot = snapshotAt(5);
+            snapshot.entries.push_back({key, value});
+            return parseDeclarations(snapshot);
+        };
+        const Declarations declarations = withKeys(formatCallerKeys({digestOf("k1")}));
+        CPPUNIT_ASSERT(declarations.callers.find("k1")->id == TeamId("ostra"));
+        CPPUNIT_ASSERT(declarations.callers.find(digestOf("k1")) == nullptr);
+        // A team whose last key was withdrawn keeps its empty list, so requests still need a key.
+        CPPUNIT_ASSERT(!withKeys(formatCallerKeys({})).callers.empty());
+        for (const std::string value :
+             {R"({"digests":["k1"]})", R"({"digests":"k1"})", R"({})", R"({"keys":[]})"})
+            CPPUNIT_ASSERT_THROW_MESSAGE(value, withKeys(value), JsonError);
+    }
+
     void errorsNameTheJsonPointer()
     {
         CPPUNIT_ASSERT_EQUAL(std::string("t.json: /slots: expected an integer from 1 to 1024"),
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -143,6 +143,8 @@
     CPPUNIT_TEST(refusalsCarryRetryDelays);
     CPPUNIT_TEST(plansByServiceAndRoute);
     CPPUNIT_TEST(refusesInvalidRequests);
+    CPPUNIT_TEST(callersAreKnownByTheirKeys);
+    CPPUNIT_TEST(teamCountersAreBounded);
     CPPUNIT_TEST(callerDeadlineIsApplied);
     CPPUNIT_TEST(copiesShareFingerprintAndKey);
     CPPUNIT_TEST(nonIdempotentIsRetriedOnlyIfNotRun);
@@ -208,6 +210,48 @@
                        RefusalReason::NoConfiguration);
     }
 
+    void callersAreKnownByTheirKeys()
+    {
+        const std::string path = "/bergvik/quotes/x";
+        CPPUNIT_ASSERT(std::get<RequestPlan>(plan(makeHead("GET", path))).team == TeamId());
+        m_declarations.callers =
+                TeamDirectory({{{TeamId("ostra"), {}}, {digestOf("k1")}}}, KeyForm::Digest);
+        const HeaderFields sent{{"Authorization", "Bearer k1"}, {"calling-team", "bergvik"}};
+        const auto known = std::get<RequestPlan>(plan(makeHead("GET", path, sent)));
+        CPPUNIT_ASSERT(known.team == TeamId("ostra"));
+        HeaderFields fields = sent;
+        const NewestConfiguration configuration;
+        NativeFrontEnd(configuration).setRequestFields(fields, known, {}, RequestId(1));
+        CPPUNIT_ASSERT(!findField(fields, "Authorization"));
+        CPPUNIT_ASSERT(findField(fields, "Calling-Team") == "ostra");
+        const std::vector<std::pair<HeaderFields, std::string>> unknown{
+                {{}, "no key"},
+                {{{"Authorization", "Basic k1"}}, "malformed key"},
+                {{{"Authorization", "Bearer secret"}}, "unknown key "},
+                {{{"Authorization", "Bearer " + digestOf("k1")}}, "unknown key "}};
+        for (const auto &[unknownFields, detail] : unknown) {
+            const auto planned = plan(makeHead("GET", path, unknownFields));
+            const Refusal refusal = std::get<Refusal>(planned);
+            CPPUNIT_ASSERT(refusal.reason == RefusalReason::Unauthenticated);
+            CPPUNIT_ASSERT(refusal.detail.starts_with(detail));
+            CPPUNIT_ASSERT(refusal.detail.find("secret") == std::string::npos);
+        }
+    }
+
+    void teamCountersAreBounded()
+    {
+        Metrics metrics;
+        TeamCounters counters;
+        for (std::size_t i = 0; i < TeamCounters::maxTeams + 3; ++i)
+            counters.count(metrics, TeamId(std::to_string(i)));
+        counters.count(metrics, TeamId("0"));
+        counters.count(metrics, TeamId());
+        const std::string name = "endivedock_team_requests_total";
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, metrics.counter(name, {{"team", "0"}}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, metrics.counter(name, {{"team", "others"}}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, metrics.counter(name, {{"team", ""}}));
+    }
+
     void callerDeadlineIsApplied()
     {
         const auto shorter =
--- a/tests/process/process_test.py
+++ b/tests/process/process_test.py
@@ -160,6 +160,29 @@
             self.assertIn(json.loads(body)["reason"], ("already-run", "run-record-unavailable"))
         self.assertEqual(0, sum(s["doubleRuns"] for s in target_stats(fleet).values()))
 
+    def test_withdrawn_caller_key_is_refused_by_all_hosts(self):
+        fleet = self.start(log_level="info")
+        path = "/bergvik/quote-archive/quotes/7"
+        self.assertEqual(200, send(fleet, 1, path)[0])
+        def add():
+            output = fleet.run_ctl("--wait", "5", "key", "add", "ostra").stdout
+            return re.search(r"key (\w+)", output)[1], re.search(r"digest (\w+)", output)[1]
+        def statuses(key=None):
+            fields = {"Authorization": f"Bearer {key}"} if key else {}
+            return {send(fleet, number, path, headers=fields)[0] for number in fleet.hosts}
+        (first, digest), (second, _) = add(), add()
+        self.assertEqual({401}, statuses())
+        self.assertEqual({200}, statuses(first))
+        self.assertEqual({200}, statuses(second))
+        fleet.run_ctl("--wait", "5", "key", "withdraw", "ostra", digest[:12])
+        self.assertEqual({401}, statuses(first))
+        self.assertEqual({200}, statuses(second))
+        for number in fleet.hosts:
+            with open(os.path.join(fleet.dir, f"host{number}.log"), encoding="utf8") as log:
+                text = log.read()
+            self.assertNotIn(first, text)
+            self.assertIn("unknown key", text)
+
     def test_evacuated_zone_gets_no_new_requests(self):
         fleet = self.start()
         load = fleet.start_load(9, LOAD)
--- a/tests/teams/teams_test.cpp
+++ b/tests/teams/teams_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(eachKeyOfATeamNamesIt);
     CPPUNIT_TEST(otherTextsNameNoTeam);
     CPPUNIT_TEST(aTeamWithoutKeysStillMakesKeysNecessary);
+    CPPUNIT_TEST(digestsAndTagsDoNotShowTheKey);
     CPPUNIT_TEST(keysOfTwoTeamsAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -39,6 +40,20 @@
         CPPUNIT_ASSERT(!TeamDirectory(teams).empty());
     }
 
+    void digestsAndTagsDoNotShowTheKey()
+    {
+        const std::string key = drawKey();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(64), key.size());
+        CPPUNIT_ASSERT(key != drawKey());
+        CPPUNIT_ASSERT(isDigest(digestOf(key)) && digestOf(key) != key);
+        CPPUNIT_ASSERT(!isDigest("k") && !isDigest(std::string(64, 'X')));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), TeamDirectory::tagOf(key).size());
+        CPPUNIT_ASSERT(TeamDirectory::tagOf(key) != TeamDirectory::tagOf("k"));
+        const TeamDirectory teams({{{TeamId("a"), {}}, {digestOf(key)}}}, KeyForm::Digest);
+        CPPUNIT_ASSERT(teams.find(key)->id == TeamId("a"));
+        CPPUNIT_ASSERT(teams.find(digestOf(key)) == nullptr);
+    }
+
     void keysOfTwoTeamsAreRefused()
     {
         CPPUNIT_ASSERT_THROW(
