freshness: a host that may have missed a withdrawal refuses keys

Cause: a host cut off from the store and its peers accepted withdrawn keys for as long as that lasted.

Change: ConfigurationFreshness decides as of which moment a host knows that no newer configuration existed; from nine tenths of the bound on, requests that need a key are refused as not run (503, Retry-After), before it is asked whether the key is known. Evidence comes from answers of the store, by their sending or by the end of a full wait, and from answers of other hosts to a question, by its sending; notices, deltas and copies prove nothing. It names configuration versions, which rise in all eras of the store, and counts once that version is applied. Ages are measured by the boot clock. A store reader whose evidence gets old reads the configuration's key; otherwise no call to the store is added. In force only where the settings bound withdrawals and the configuration has teams.

--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -112,14 +112,17 @@
                       const std::variant<ProbeResult, ProbeFailure> &outcome) {
                    handleProbeResult(service, target, outcome);
                })
+    , m_readerSelector(m_self, m_settings.capacity)
+    , m_freshness(m_executor, m_settings, m_registry, m_peers, m_readerSelector, m_random,
+                  m_metrics, [this] { applyRegistryChange(); })
     , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random},
-                P::makeFrontEnd({m_registry, m_roundRobin}), m_placement, m_runGuard)
+                P::makeFrontEnd({m_registry, m_roundRobin, m_freshness.freshness()}), m_placement,
+                m_runGuard)
     , m_readinessServer(m_executor, m_settings.readiness,
                         [this](HttpServerRequest request) {
                             return handleReadinessRequest(std::move(request));
                         })
     , m_storeAnsweredAt(SteadyClock().now())
-    , m_readerSelector(m_self, m_settings.capacity)
 {
     if (m_settings.admin)
         m_adminServer.emplace(m_executor, *m_settings.admin, [this](HttpServerRequest request) {
@@ -229,12 +232,14 @@
 {
     // A watch can start at the revision of a copy from another host, without a listing.
     if (m_needsListing || m_registry.revision() == Revision(0)) {
+        const BootTime sentAt = BootClock::now();
         const StoreSnapshot snapshot = co_await m_watchStore.list("");
         recordStoreSuccess();
         m_needsListing = false;
         const Revision from = m_registry.revision();
         if (m_registry.applySnapshot(snapshot, SteadyClock().now())) {
             applyRegistryChange();
+            m_freshness.recordStoreAnswer(sentAt, Milliseconds(0));
             if (from > Revision(0))
                 broadcastNotice();
         }
@@ -247,10 +252,12 @@
     const Milliseconds watchTimeout = m_storeAnsweredAt < m_readingSince
                                               ? StoreReaderSelector::answerInterval
                                               : m_readerSelector.watchTimeout(SteadyClock().now());
+    const BootTime sentAt = BootClock::now();
     const StoreChanges changes =
             co_await m_watchStore.watch("", m_registry.revision(), watchTimeout);
     recordStoreSuccess();
     if (changes.changes.empty()) {
+        m_freshness.recordStoreAnswer(sentAt, watchTimeout);
         broadcastNotice();
         co_return;
     }
@@ -260,6 +267,7 @@
         applyRegistryChange();
         broadcastChanges(from);
     }
+    m_freshness.recordStoreAnswer(sentAt, Milliseconds(0));
     co_await sleepFor(edge_detail::watchBatchDelay);
 }
 
@@ -327,6 +335,7 @@
 {
     const TimePoint now = SteadyClock().now();
     const auto hosts = m_registry.hosts();
+    m_freshness.applyRegistry();
     m_peers.setHosts(hosts, m_settings.capacity);
     m_readerSelector.setHosts(hosts, now);
     m_placement.applyRegistry(m_registry, m_peers.hostCount(), now);
@@ -352,6 +361,7 @@
         m_placement.tick(now);
         startProbes(now);
         shareCrashRecords(now);
+        m_freshness.tick(m_isReadingStore, now);
         for (const auto &notice : m_placement.takeDrainingNotices(now))
             m_peers.broadcast(notice);
         if (now < nextReportAt)
@@ -447,6 +457,10 @@
         handleCrashRecords(header.sender, *records, now);
     } else if (const auto *draining = std::get_if<DrainingNotice>(&message)) {
         m_placement.handle(header.sender, *draining, now);
+    } else if (const auto *question = std::get_if<FreshnessQuestion>(&message)) {
+        m_freshness.handle(header.sender, *question);
+    } else if (const auto *evidence = std::get_if<FreshnessAnswer>(&message)) {
+        m_freshness.handle(*evidence);
     }
 }
 
--- a/include/endivedock/edge/edge_host.h
+++ b/include/endivedock/edge/edge_host.h
@@ -4,6 +4,7 @@
 #include "endivedock/edge/edge_message.h"
 #include "endivedock/edge/edge_peers.h"
 #include "endivedock/edge/edge_settings.h"
+#include "endivedock/edge/freshness_agent.h"
 #include "endivedock/edge/platform_concept.h"
 #include "endivedock/edge/registry_source_selector.h"
 #include "endivedock/edge/rollout_agent.h"
@@ -128,13 +129,14 @@
     RolloutAgent<P> m_rollouts;
     StoreRestorer<P> m_restorer;
     TargetProber m_prober;
+    StoreReaderSelector m_readerSelector;
+    FreshnessAgent<P> m_freshness;
     Gateway m_gateway;
     HttpServer m_readinessServer;
     std::optional<HttpServer> m_adminServer;
     /** When the store last answered a call, and whether a call has failed since then. */
     TimePoint m_storeAnsweredAt;
     bool m_isStoreUnreachable = false;
-    StoreReaderSelector m_readerSelector;
     bool m_isReadingStore = false;
     TimePoint m_readingSince{};
     /**
--- a/include/endivedock/edge/edge_message.h
+++ b/include/endivedock/edge/edge_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/edge/registry_messages.h"
+#include "endivedock/freshness/messages.h"
 #include "endivedock/loadreports/messages.h"
 #include "endivedock/peers.h"
 #include "endivedock/placement/messages.h"
@@ -15,9 +16,10 @@
  * All messages between edge hosts. The position of a type is part of the encoding, so new types
  * must be appended.
  */
-using EdgeMessage = std::variant<HostLoadReport, AggregatedLoad, RegistryNotice, RegistryRequest,
-                                 RegistryDelta, PlacementRequest, PlacementAnswer, AttemptReport,
-                                 PlacementCancel, CrashRecords, DrainingNotice>;
+using EdgeMessage =
+        std::variant<HostLoadReport, AggregatedLoad, RegistryNotice, RegistryRequest, RegistryDelta,
+                     PlacementRequest, PlacementAnswer, AttemptReport, PlacementCancel,
+                     CrashRecords, DrainingNotice, FreshnessQuestion, FreshnessAnswer>;
 
 /** Encodes messages between edge hosts in cereal's portable binary format. */
 struct EdgeCodec
--- a/include/endivedock/edge/edge_settings.h
+++ b/include/endivedock/edge/edge_settings.h
@@ -4,6 +4,7 @@
 #include "endivedock/core.h"
 #include "endivedock/telemetry.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,11 @@
     /** Key that seals the messages between hosts: 32 bytes in hexadecimal. */
     std::string peerKey;
     BalancingSettings balancing;
+    /**
+     * A key may be accepted for this long after a configuration that withdraws it was acknowledged,
+     * whatever this host is cut off from; absent if withdrawals are not bounded.
+     */
+    std::optional<Milliseconds> withdrawalBound;
     /** New connections are still accepted for this time after a stop signal. */
     Milliseconds drainDelay{2500};
     /** The process ends this long after a stop signal at the latest, even if requests still run. */
--- a/include/endivedock/edge/platform_concept.h
+++ b/include/endivedock/edge/platform_concept.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/edge/registry.h"
+#include "endivedock/freshness.h"
 #include "endivedock/gateway.h"
 #include "endivedock/store/store_concept.h"
 
@@ -13,6 +14,8 @@
 {
     const Registry &registry;
     WeightedRoundRobin &roundRobin;
+    const ConfigurationFreshness &freshness;
+    BootTimeSource bootTime = &BootClock::now;
 };
 
 /**
@@ -23,10 +26,18 @@
 template <typename P>
 concept EdgePlatform =
         WatchableStore<typename P::Store> && FrontEnd<typename P::Front> &&
-        requires(const StoreEntry &entry, const FrontEndContext &context, const ServiceId &service,
-                 const VersionId &version, RolloutState state, const RegisteredHost &host,
-                 const std::string &name, const ResponseHead &response, const CrashRecords &records,
-                 Milliseconds time) {
+        requires(typename P::Store store, const StoreEntry &entry, const FrontEndContext &context,
+                 const ServiceId &service, const VersionId &version, RolloutState state,
+                 const RegisteredHost &host, const std::string &name, const ResponseHead &response,
+                 const CrashRecords &records, Milliseconds time) {
+            /** @return the store key of the configuration */
+            {
+                P::configurationKey()
+            } -> std::convertible_to<std::string_view>;
+            /** Same as get(), with a timeout of the call. */
+            {
+                store.getWithin(name, time)
+            } -> std::same_as<Task<std::optional<StoreEntry>>>;
             {
                 P::parseRecord(entry)
             } -> std::same_as<RegistryRecord>;
--- a/include/endivedock/edge/registry.h
+++ b/include/endivedock/edge/registry.h
@@ -133,6 +133,11 @@
     Revision requestRevision() const { return m_needsFullCopy ? Revision(0) : m_revision; }
     /** @return the routing table, or null if this copy has never contained a configuration */
     std::shared_ptr<const RoutingTable> table() const { return m_table; }
+    /** @return the version of the routing table; 0 if there is none */
+    ConfigurationVersion configurationVersion() const
+    {
+        return m_table ? m_table->version() : ConfigurationVersion(0);
+    }
     std::vector<RegisteredTarget> targetsOf(const ServiceId &service) const;
     /** @return all services of the routing table, also those that only occur in its routes */
     std::set<ServiceId> services() const;
--- a/include/endivedock/edge/store_reader_selector.h
+++ b/include/endivedock/edge/store_reader_selector.h
@@ -47,6 +47,8 @@
      * @return whether this host is to read the store
      */
     bool shouldRead(TimePoint now);
+    /** @return the other hosts that have recently told that they read the store */
+    std::vector<HostId> readingHosts(TimePoint now) const;
     /** @return the time since the store last answered another host, if this host knows it */
     std::optional<Milliseconds> answerAge(TimePoint now) const;
     /** @return how long the next watch of this host, a reader, waits for changes */
--- a/include/endivedock/platform.h
+++ b/include/endivedock/platform.h
@@ -50,6 +50,8 @@
     KvStore(asio::any_io_executor executor, Address address);
 
     Task<std::optional<StoreEntry>> get(std::string key);
+    /** Same as get(), with a timeout of the call. */
+    Task<std::optional<StoreEntry>> getWithin(std::string key, Milliseconds timeout);
     /**
      * Reads all pages from replicas that may lag, and then the changes since the revision of the
      * pages. If the store has compacted those changes, reads all pages of the current state, and
@@ -120,6 +122,7 @@
     using Store = KvStore;
     using Front = PlatformFrontEnd;
 
+    static std::string_view configurationKey();
     static RegistryRecord parseRecord(const StoreEntry &entry);
     static Front makeFrontEnd(const FrontEndContext &context) { return Front(context); }
     static StoreEntry makeRolloutStatusEntry(const ServiceId &service, const VersionId &version,
--- a/src/edge/edge_message.cpp
+++ b/src/edge/edge_message.cpp
@@ -1,6 +1,7 @@
 #include "endivedock/edge/edge_message.h"
 
 #include "endivedock/edge/registry_codec.h"
+#include "endivedock/freshness/codec.h"
 #include "endivedock/loadreports/codec.h"
 #include "endivedock/peers/cereal_codec.h"
 #include "endivedock/placement/codec.h"
--- a/src/edge/store_reader_selector.cpp
+++ b/src/edge/store_reader_selector.cpp
@@ -89,6 +89,16 @@
     return now - *m_tooFewReadersSince >= takeoverDelay * static_cast<int>(steps);
 }
 
+std::vector<HostId> StoreReaderSelector::readingHosts(TimePoint now) const
+{
+    std::vector<HostId> result;
+    for (const auto &[host, reading] : m_readings) {
+        if (now - reading.noticeAt <= noticeTimeout)
+            result.push_back(host);
+    }
+    return result;
+}
+
 std::optional<Milliseconds> StoreReaderSelector::answerAge(TimePoint now) const
 {
     if (m_lastAnswerAt == TimePoint{})
--- a/tests/edge/malformed_messages_test.cpp
+++ b/tests/edge/malformed_messages_test.cpp
@@ -79,7 +79,9 @@
     const CrashReport crash{target, ZoneId("a"), Microseconds(5000), Microseconds(90)};
     const CrashRecord record{Fingerprint(4), {crash, crash}, Milliseconds(7), Milliseconds(8)};
     const TargetProcess process{target, {"10.0.0.1", 80}, 1'700'000'000'000};
-    return {CrashRecords{{record}}, DrainingNotice{service, {{process, Milliseconds(20)}}}};
+    return {CrashRecords{{record}}, DrainingNotice{service, {{process, Milliseconds(20)}}},
+            FreshnessQuestion{FreshnessQuestionId(11)},
+            FreshnessAnswer{FreshnessQuestionId(11), ConfigurationVersion(3), Milliseconds(40)}};
 }
 
 std::vector<std::string> makeValidMessages()
--- a/tests/edge/registry_test.cpp
+++ b/tests/edge/registry_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(listingsDuringABurstNeedNoFullCopies);
     CPPUNIT_TEST(manyListingsNeedNoFullCopies);
     CPPUNIT_TEST(droppedRemovalsDoNotRestoreDroppedGaps);
+    CPPUNIT_TEST(configurationReadAheadStaysInForce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,6 +43,23 @@
         CPPUNIT_ASSERT(m_registry.table() != nullptr);
     }
 
+    void configurationReadAheadStaysInForce()
+    {
+        m_registry.applyChanges(change(5, "config", "7"), m_now);
+        // Read by itself, while other changes up to revision 9 are still unknown.
+        m_registry.applyChanges({Revision(5), {{"config", "8", Revision(9)}}}, m_now);
+        CPPUNIT_ASSERT(m_registry.revision() == Revision(5));
+        CPPUNIT_ASSERT(m_registry.configurationVersion() == ConfigurationVersion(8));
+        const StoreSnapshot older{Revision(6), {{"config", "7", Revision(5)}}};
+        m_registry.applySnapshot(older, m_now);
+        CPPUNIT_ASSERT(m_registry.table()->version() == ConfigurationVersion(8));
+        m_registry.applyChanges(
+                {Revision(9), {{"target:a", "quotes", Revision(8)}, {"config", "8", Revision(9)}}},
+                m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_registry.targetsOf(ServiceId("quotes")).size());
+        CPPUNIT_ASSERT(m_registry.configurationVersion() == ConfigurationVersion(8));
+    }
+
     void oldSnapshotsAndChangesAreIgnored()
     {
         m_registry.applyChanges(change(9, "target:a", "quotes draining"), m_now);
--- a/tests/platform/caller_keys_test.cpp
+++ b/tests/platform/caller_keys_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(publicRoutesNeedNoKey);
     CPPUNIT_TEST(theTargetLearnsTheTeamAndNotTheKey);
     CPPUNIT_TEST(theRankOfTheTeamGoesBeforeThatOfTheRoute);
+    CPPUNIT_TEST(staleKeysAreRefusedAsNotRun);
+    CPPUNIT_TEST(staleKeysNameNoTeamOnPublicRoutes);
     CPPUNIT_TEST(malformedTeamsInvalidateTheConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
@@ -114,6 +116,35 @@
         CPPUNIT_ASSERT(priorityOf(100, 100) >= -128);
     }
 
+    void staleKeysAreRefusedAsNotRun()
+    {
+        s_bootNow += Milliseconds(4499);
+        CPPUNIT_ASSERT(std::holds_alternative<RequestPlan>(
+                plan("/a/x", {{"Authorization", "Bearer k1"}})));
+        s_bootNow += Milliseconds(1);
+        // A key that is unknown here may be in the configuration that this host has missed.
+        for (const std::string key : {"k1", "k4"}) {
+            const auto planned = plan("/a/x", {{"Authorization", "Bearer " + key}});
+            const Refusal refusal = std::get<Refusal>(planned);
+            CPPUNIT_ASSERT(refusal.reason == RefusalReason::StaleConfiguration);
+            CPPUNIT_ASSERT(refusal.certainty == RunCertainty::NotRun);
+            const RefusalResponse response =
+                    m_front.formatRefusal(refusal, makeHead("/a/x", {}), {});
+            CPPUNIT_ASSERT_EQUAL(503u, response.head.status);
+            CPPUNIT_ASSERT(findField(response.head.fields, "Retry-After"));
+        }
+        m_freshness.recordEvidence({m_registry.configurationVersion(), s_bootNow});
+        CPPUNIT_ASSERT(std::holds_alternative<RequestPlan>(
+                plan("/a/x", {{"Authorization", "Bearer k1"}})));
+    }
+
+    void staleKeysNameNoTeamOnPublicRoutes()
+    {
+        s_bootNow += Milliseconds(4500);
+        const auto planned = plan("/open/x", {{"Authorization", "Bearer k1"}});
+        CPPUNIT_ASSERT(std::get<RequestPlan>(planned).team == TeamId());
+    }
+
     void malformedTeamsInvalidateTheConfiguration()
     {
         for (const std::string spec :
@@ -134,6 +165,8 @@
         changes.revision = Revision(1);
         changes.changes.push_back({"op/config", std::move(text), Revision(1)});
         m_registry.applyChanges(changes, m_now);
+        m_freshness.setAppliedConfiguration(m_registry.configurationVersion());
+        m_freshness.recordEvidence({m_registry.configurationVersion(), s_bootNow});
     }
 
     std::variant<RequestPlan, Refusal> plan(const std::string &path, HeaderFields fields)
@@ -144,7 +177,9 @@
     TimePoint m_now{Seconds(1000)};
     Registry m_registry{&Platform::parseRecord};
     WeightedRoundRobin m_roundRobin;
-    PlatformFrontEnd m_front{{m_registry, m_roundRobin}};
+    static inline BootTime s_bootNow{Seconds(1000)};
+    ConfigurationFreshness m_freshness{Milliseconds(5000)};
+    PlatformFrontEnd m_front{{m_registry, m_roundRobin, m_freshness, [] { return s_bootNow; }}};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerKeysTest);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST_SUITE(PlatformTest);
     CPPUNIT_TEST(readsSettings);
     CPPUNIT_TEST(hostsBehindDifferentStoreAddressesShareAConfiguredPeerKey);
+    CPPUNIT_TEST(withdrawalsAreBoundedOnlyWhereAskedFor);
     CPPUNIT_TEST(refusesMalformedPeerKeys);
     CPPUNIT_TEST(refusesSettingsWithoutRequiredFields);
     CPPUNIT_TEST(readsConfigurations);
@@ -124,6 +125,20 @@
         CPPUNIT_ASSERT_EQUAL(key, parsePlatformSettings(text).peerKey);
     }
 
+    void withdrawalsAreBoundedOnlyWhereAskedFor()
+    {
+        const auto boundFor = [](const std::string &bounds) {
+            std::string text(settingsText);
+            text.replace(text.find("\"other\""), 7, bounds);
+            return parsePlatformSettings(text).withdrawalBound;
+        };
+        CPPUNIT_ASSERT(boundFor(R"("fail_closed=true", "revoke_ms=5000")") == Milliseconds(5000));
+        for (const std::string bounds :
+             {R"("other")", R"("revoke_ms=5000")", R"("fail_closed=true")",
+              R"("fail_closed=false", "revoke_ms=5000")", R"("fail_closed=true", "revoke_ms=x")"})
+            CPPUNIT_ASSERT_MESSAGE(bounds, !boundFor(bounds));
+    }
+
     void refusesMalformedPeerKeys()
     {
         for (const std::string &key : {std::string(), std::string(63, 'c'), std::string(64, 'x')})
@@ -656,7 +671,8 @@
     TimePoint m_now{Seconds(1000)};
     Registry m_registry{&Platform::parseRecord};
     WeightedRoundRobin m_roundRobin;
-    PlatformFrontEnd m_front{{m_registry, m_roundRobin}};
+    ConfigurationFreshness m_freshness{std::nullopt};
+    PlatformFrontEnd m_front{{m_registry, m_roundRobin, m_freshness}};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
