--- a/include/endivedock/core/time.h
+++ b/include/endivedock/core/time.h
@@ -27,20 +27,28 @@
 };
 
 /**
- * The clock of the operating system that also advances while the machine sleeps. Its times are
- * comparable only among themselves.
+ * Time since the machine started, including the time for which it was suspended, during which the
+ * steady clock stands still. Unlike the time of day, it never jumps.
  */
 struct BootClock
 {
-    TimePoint now() const
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+
+    static time_point now()
     {
         timespec time{};
-        clock_gettime(CLOCK_BOOTTIME, &time);
-        return TimePoint(std::chrono::seconds(time.tv_sec) +
-                         std::chrono::nanoseconds(time.tv_nsec));
+        clock_gettime(CLOCK_BOOTTIME, &time); // Fails only for a clock that does not exist.
+        return time_point(std::chrono::seconds(time.tv_sec) +
+                          std::chrono::nanoseconds(time.tv_nsec));
     }
 };
 
+/** Time by which ages are measured that must include suspensions of the machine. */
+using BootTime = BootClock::time_point;
+
 /** A clock that advances only on calls of advance(). */
 class ManualClock
 {
@@ -52,7 +60,7 @@
     TimePoint m_now{};
 };
 
-static_assert(Clock<SteadyClock> && Clock<BootClock> && Clock<ManualClock>);
+static_assert(Clock<SteadyClock> && Clock<ManualClock>);
 
 /** @return the whole milliseconds in @p duration, rounded down */
 constexpr Milliseconds toMilliseconds(Duration duration)
--- a/include/endivedock/edge/edge_message.h
+++ b/include/endivedock/edge/edge_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivedock/edge/registry_messages.h"
+#include "endivedock/freshness/messages.h"
 #include "endivedock/loadreports/messages.h"
 #include "endivedock/peers.h"
 #include "endivedock/placement/messages.h"
@@ -20,7 +21,7 @@
 using EdgeMessage = std::variant<HostLoadReport, AggregatedLoad, RegistryNotice, RegistryRequest,
                                  RegistryDelta, PlacementRequest, PlacementAnswer, AttemptReport,
                                  PlacementCancel, CrashRecords, DrainingNotice, UsageCounts,
-                                 ZoneRoom>;
+                                 ZoneRoom, FreshnessQuestion, FreshnessAnswer>;
 
 /** Encodes messages between edge hosts in cereal's portable binary format. */
 struct EdgeCodec
--- a/include/endivedock/edge/usage_agent.h
+++ b/include/endivedock/edge/usage_agent.h
@@ -84,6 +84,9 @@
         startTask(executor, "usage-duty", runDuty());
     }
 
+    /** @return the time by which the lease is measured, which includes suspensions of the machine
+     */
+    static TimePoint bootTime() { return TimePoint(BootClock::now().time_since_epoch()); }
     static Milliseconds timeOfDay() { return Milliseconds(unixTimeMilliseconds()); }
 
     Task<> runSharing();
@@ -226,7 +229,7 @@
 template <EdgePlatform P>
 UsageView UsageAgent<P>::view()
 {
-    UsageView result{BootClock().now(), timeOfDay(), storedHolder(), nullptr, 0, false, m_tally};
+    UsageView result{bootTime(), timeOfDay(), storedHolder(), nullptr, 0, false, m_tally};
     const StoreEntry *entry = m_registry.find(recordKey);
     if (entry != nullptr && entry->modRevision != m_parsedRevision) {
         m_parsedRevision = entry->modRevision;
@@ -278,7 +281,7 @@
 template <EdgePlatform P>
 Task<> UsageAgent<P>::carryOut(usage_step::Claim)
 {
-    const TimePoint sentAt = BootClock().now();
+    const TimePoint sentAt = bootTime();
     bool isClaimed = false;
     bool hasLease = false;
     try {
@@ -297,7 +300,7 @@
         m_duty.recordClaimed(sentAt);
         co_return;
     }
-    m_duty.recordClaimFailed(BootClock().now());
+    m_duty.recordClaimFailed(bootTime());
     if (hasLease)
         co_await carryOut(usage_step::EndLease{});
 }
@@ -305,14 +308,14 @@
 template <EdgePlatform P>
 Task<> UsageAgent<P>::carryOut(usage_step::RenewLease)
 {
-    const TimePoint sentAt = BootClock().now();
+    const TimePoint sentAt = bootTime();
     try {
         if (co_await m_store.renewLease(m_lease))
             m_duty.recordRenewed(sentAt);
         else
-            m_duty.recordLeaseEnded(BootClock().now());
+            m_duty.recordLeaseEnded(bootTime());
     } catch (const Error &error) {
-        m_duty.recordRenewalUnknown(BootClock().now());
+        m_duty.recordRenewalUnknown(bootTime());
         m_log.info("Usage lease not renewed", {field("error", error.what())});
     }
 }
@@ -341,9 +344,9 @@
             m_duty.recordWritten(result.revision);
         else
             m_duty.recordConflict(result.current ? parse(*result.current) : std::nullopt,
-                                  BootClock().now());
+                                  bootTime());
     } catch (const Error &error) {
-        m_duty.recordWriteUnknown(BootClock().now());
+        m_duty.recordWriteUnknown(bootTime());
         m_log.info("Usage record may not be written", {field("error", error.what())});
         co_return;
     }
@@ -364,7 +367,7 @@
     const std::size_t teams = step.report.counts.size();
     const UsageAnswer answer =
             co_await m_receiver.report(m_name, std::move(step.report), reportTimeout);
-    m_duty.recordAnswer(window, answer, BootClock().now());
+    m_duty.recordAnswer(window, answer, bootTime());
     const std::string answerName(name(answer));
     m_metrics.count("endivedock_usage_reports_total", {{"answer", answerName}});
     m_log.info("Usage window sent",
--- a/tests/edge/malformed_messages_test.cpp
+++ b/tests/edge/malformed_messages_test.cpp
@@ -83,7 +83,9 @@
                              Incarnation(2),
                              UsageWindow(355301204),
                              {{TeamId("alder"), 412}, {TeamId("birch"), 3}}};
-    return {CrashRecords{{record}}, DrainingNotice{service, {{process, Milliseconds(20)}}}, counts};
+    return {CrashRecords{{record}}, DrainingNotice{service, {{process, Milliseconds(20)}}}, counts,
+            FreshnessQuestion{FreshnessQuestionId(11)},
+            FreshnessAnswer{FreshnessQuestionId(11), ConfigurationVersion(3), Milliseconds(40)}};
 }
 
 std::vector<std::string> makeValidMessages()
