gateway: memory and descriptors of the machine bound what callers hold

Cause: bodies up to 512 KB were buffered without a bound on their number, also those of requests that were refused already; a caller that stopped short kept its memory for 30 s; responses and socket buffers had no bound; connections were accepted until descriptors ran out, and each failed accept logged a line 100 times a second. Change: the settings' limits (limits.memory_mb and max_fds; endivedockd: memoryMb, maxDescriptors) go to the gateway. Bodies are read by body_reader with memory reserved as they arrive; a loser whose request was not handed to a target gets 503 memory-short with Retry-After, others lose their connection. Bodies announced as too large are refused unread, refused requests' bodies are discarded into one buffer. Responses without memory are streamed. Socket buffers shrink with the number of connections. At the limit on callers the one idle for longest is closed; connections to targets have a limit. Very small chunks no longer clear 32 KB each. Read buffers are given back while a connection is idle. Conclusion: the cause is mended for both programs.

--- a/include/endivedock/core/refusal.h
+++ b/include/endivedock/core/refusal.h
@@ -32,6 +32,7 @@
     RunRecordUnavailable,
     TargetRefused,
     TargetFailed,
+    MemoryShort,
     Internal,
 };
 
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -112,7 +112,7 @@
                       const std::variant<ProbeResult, ProbeFailure> &outcome) {
                    handleProbeResult(service, target, outcome);
                })
-    , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random},
+    , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random, m_settings.machine},
                 P::makeFrontEnd({m_registry, m_roundRobin}), m_placement, m_runGuard)
     , m_readinessServer(m_executor, m_settings.readiness,
                         [this](HttpServerRequest request) {
--- a/include/endivedock/edge/edge_settings.h
+++ b/include/endivedock/edge/edge_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endivedock/admission/admission_limits.h"
 #include "endivedock/balancing.h"
 #include "endivedock/core.h"
 #include "endivedock/telemetry.h"
@@ -37,6 +38,8 @@
      * store.
      */
     bool isFleetBootstrap = false;
+    /** Memory and descriptors of the host's process. */
+    MachineLimits machine;
     /** Processor share of the host, in cores. */
     double capacity = 1;
     /** Key that seals the messages between hosts: 32 bytes in hexadecimal. */
--- a/include/endivedock/gateway.h
+++ b/include/endivedock/gateway.h
@@ -8,6 +8,7 @@
 
 #include "endivedock/gateway/attempt_policy.h"
 #include "endivedock/gateway/attempt_runner.h"
+#include "endivedock/gateway/body_reader.h"
 #include "endivedock/gateway/caller_connection.h"
 #include "endivedock/gateway/caller_session.h"
 #include "endivedock/gateway/gateway_server.h"
--- a/include/endivedock/gateway/attempt_runner-inl.h
+++ b/include/endivedock/gateway/attempt_runner-inl.h
@@ -21,6 +21,31 @@
 /** Bounds of the memory that is reserved for one read of a response body. */
 constexpr std::size_t minResponseReadBytes = 2048;
 constexpr std::size_t maxResponseReadBytes = 32 * 1024;
+/** Memory is reserved for buffers of responses from this size on. */
+constexpr std::size_t minReservedResponseBytes = 16 * 1024;
+
+/**
+ * Makes room for the next read of a response, within the memory for callers.
+ *
+ * @return false if there is no memory; the response must then be streamed
+ */
+inline bool growResponse(const SessionPtr &session, std::vector<char> &body, MemoryHold &memory,
+                         std::size_t readBytes)
+{
+    const std::size_t size = body.size() + readBytes;
+    if (size > body.capacity()) {
+        const std::size_t capacity = std::max(size, 2 * body.capacity());
+        if (capacity > minReservedResponseBytes) {
+            if (!memory)
+                memory = CallerSession::openResponseHold(session);
+            if (!memory.tryHold(Bytes(capacity)) && !body.empty())
+                return false;
+        }
+        body.reserve(capacity);
+    }
+    body.resize(size);
+    return true;
+}
 
 } // namespace attempt_detail
 
@@ -44,6 +69,9 @@
     AttemptResult result;
     bool hasStartedSending = false;
     std::string cause;
+    // Callers that do not read their responses keep connections to targets in use.
+    if (m_pool.isFull())
+        session->memory().takeBackOne(LoserChoice::Overdue);
     try {
         const TimePoint connectBy =
                 std::min(request->plan.deadline, startedAt + target.connectTimeout);
@@ -119,14 +147,18 @@
         const std::span<char> piece =
                 request->isBodyBuffered ? std::span<char>{} : caller.scratchBuffer();
         while (!request->isBodyBuffered && !caller.isBodyComplete()) {
+            if (!request->isBodyStreamed)
+                request->memory.awaitCaller(request->plan.deadline);
             request->isBodyStreamed = true;
             const std::size_t count = co_await caller.readBody(piece);
+            request->memory.recordProgress(Bytes(count));
             bytesSent += count;
             if (bytesSent > request->plan.maxBodySize.value())
                 throw CallerRequestError(RefusalReason::BodyTooLarge, RunCertainty::MayHaveRun);
             if (count > 0)
                 co_await connection.sendBody({piece.data(), count});
         }
+        request->memory.stopAwaiting();
         co_await connection.endRequest();
     } catch (const TargetError &error) {
         if (error.isTimeout())
@@ -143,6 +175,7 @@
 {
     ResponseHead head;
     std::vector<char> body;
+    MemoryHold memory;
     TargetReport targetReport;
     while (true) {
         head = co_await target.readHead();
@@ -154,11 +187,11 @@
             targetReport = readTargetReport(head, report);
         while (body.size() <= attempt_detail::maxBufferedResponseBytes) {
             const std::size_t filled = body.size();
-            body.resize(filled +
-                        std::min<std::size_t>(
-                                std::max<std::size_t>(head.framing.length.value_or(0),
-                                                      attempt_detail::minResponseReadBytes),
-                                attempt_detail::maxResponseReadBytes));
+            const std::size_t readBytes = std::clamp<std::size_t>(
+                    head.framing.length.value_or(0), attempt_detail::minResponseReadBytes,
+                    attempt_detail::maxResponseReadBytes);
+            if (!attempt_detail::growResponse(session, body, memory, readBytes))
+                break;
             const std::size_t count =
                     co_await target.readBody({body.data() + filled, body.size() - filled});
             body.resize(filled + count);
@@ -178,11 +211,12 @@
     std::erase_if(head.fields,
                   [this](const HeaderField &field) { return m_frontEnd.isInternal(field); });
     m_frontEnd.setResponseFields(head.fields, request->id);
+    // Not a temporary of the call below: g++ 12 destroys such aggregates twice.
+    BufferedResponse response{std::move(head), std::move(body), std::move(memory)};
     if (!target.isResponseComplete())
-        co_return co_await streamResponse(session, request, target, report, std::move(head),
-                                          std::move(body));
-    result.outcome = outcomeForStatus(head.status);
-    result.response = BufferedResponse{std::move(head), std::move(body)};
+        co_return co_await streamResponse(session, request, target, report, std::move(response));
+    result.outcome = outcomeForStatus(response.head.status);
+    result.response = std::move(response);
     co_return result;
 }
 
@@ -210,19 +244,21 @@
 template <FrontEnd F, PlacementSource P>
 Task<AttemptResult> AttemptRunner<F, P>::streamResponse(SessionPtr session, RequestPtr request,
                                                         TargetConnection &target,
-                                                        AttemptReport &report, ResponseHead head,
-                                                        std::vector<char> start)
+                                                        AttemptReport &report,
+                                                        BufferedResponse start)
 {
     CallerConnection &caller = session->caller();
     co_await session->awaitResponseTurn(request->sequenceNumber);
     session->decideKeepAlive(*request);
     request->responseOptions.sendBy = request->plan.deadline;
     try {
-        std::vector<char> piece = std::move(start);
+        std::vector<char> &piece = start.body;
         std::size_t count = piece.size();
-        co_await caller.sendHead(head, request->responseOptions);
+        start.memory.awaitCaller(request->plan.deadline);
+        co_await caller.sendHead(start.head, request->responseOptions);
         while (count > 0) {
             co_await caller.sendBody({piece.data(), count});
+            start.memory.recordProgress(Bytes(count));
             count = co_await target.readBody(piece);
         }
         co_await caller.endResponse();
@@ -236,7 +272,7 @@
                           error.what());
     }
     AttemptResult result;
-    result.outcome = outcomeForStatus(head.status);
+    result.outcome = outcomeForStatus(start.head.status);
     result.isStreamed = true;
     co_return result;
 }
--- a/include/endivedock/gateway/attempt_runner.h
+++ b/include/endivedock/gateway/attempt_runner.h
@@ -18,6 +18,8 @@
 {
     ResponseHead head;
     std::vector<char> body;
+    /** The memory of a body that is not small. */
+    MemoryHold memory;
 };
 
 /** How an attempt ended, with the target's response if there is one. */
@@ -88,6 +90,8 @@
                             AttemptReport &report);
     /** @return see TargetConnectionPool::connectedTargets() */
     std::vector<AddressHash> connectedTargets() const { return m_pool.connectedTargets(); }
+    /** See TargetConnectionPool::setLimit(). */
+    void limitTargetConnections(Connections limit) { m_pool.setLimit(limit); }
 
 private:
     RequestHead makeTargetRequestHead(const GatewayRequest &request, const TargetId &target) const;
@@ -97,7 +101,7 @@
                                         TargetConnection &target, AttemptReport &report);
     Task<AttemptResult> streamResponse(SessionPtr session, RequestPtr request,
                                        TargetConnection &target, AttemptReport &report,
-                                       ResponseHead head, std::vector<char> start);
+                                       BufferedResponse start);
     /** Takes what the target states about itself in the header of its response. */
     TargetReport readTargetReport(const ResponseHead &head, AttemptReport &report);
 
--- a/include/endivedock/gateway/caller_connection.h
+++ b/include/endivedock/gateway/caller_connection.h
@@ -74,6 +74,8 @@
      * @throws CallerError if the connection failed
      */
     Task<std::size_t> readBody(std::span<char> into);
+    /** Reads the next piece of the request body and keeps nothing. @return see readBody() */
+    Task<std::size_t> discardBody();
     /** @return whether the body of the last request has been read to its end */
     bool isBodyComplete() const;
 
@@ -86,6 +88,8 @@
     Task<bool> discardInput(Milliseconds timeout);
     /** @return whether the caller has sent something that has not been read */
     bool hasInput() const;
+    /** @return whether the caller has not taken everything that was written */
+    bool hasUnsent() const;
     /**
      * Ends a pending readHead(), which then returns nothing, or a pending discardInput(). No other
      * task may be reading a body or writing.
--- a/include/endivedock/gateway/caller_session.h
+++ b/include/endivedock/gateway/caller_session.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "endivedock/admission.h"
 #include "endivedock/gateway/caller_connection.h"
 #include "endivedock/gateway/request_plan.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace endivedock {
@@ -22,6 +24,8 @@
     Fingerprint fingerprint;
     /** The body, or the start of a body that is too long to be buffered. */
     std::vector<char> bufferedBody;
+    /** The memory of bufferedBody, and what the connection holds while the body arrives. */
+    MemoryHold memory;
     /** Whether bufferedBody holds the whole body. */
     bool isBodyBuffered = false;
     /**
@@ -58,11 +62,19 @@
 class CallerSession
 {
 public:
-    /** @param shutdown  must outlive this object */
+    /** @param shutdown, memory  must outlive this object */
     CallerSession(asio::ip::tcp::socket socket, const asio::any_io_executor &executor,
-                  const GatewayShutdown &shutdown);
+                  const GatewayShutdown &shutdown, MemoryGate &memory);
 
     CallerConnection &caller() { return m_caller; }
+    MemoryGate &memory() { return m_memory; }
+    /** @return a hold for a response to this caller; it loses its connection with the memory */
+    static MemoryHold openResponseHold(const std::shared_ptr<CallerSession> &session);
+    /**
+     * A response has been written to the socket, which holds a part of it until the caller reads.
+     * That part counts as held until the next request arrives.
+     */
+    void holdUnsent(std::size_t responseBytes);
 
     /** Adds a request that has been read, and sets its sequence number. */
     void add(const RequestPtr &request);
@@ -97,7 +109,11 @@
     bool isExclusive() const { return m_isExclusive; }
     void setExclusive(bool isExclusive) { m_isExclusive = isExclusive; }
     /** @param isReading  whether a request is being read whose header has arrived */
-    void setReading(bool isReading) { m_isReading = isReading; }
+    void setReading(bool isReading);
+    /** @return whether the request that is being read is the only one, and not handled yet */
+    bool isReadingAlone() const { return m_isReading && m_pendingRequests.empty(); }
+    /** @return the session that has waited longest for a request, or null if none waits */
+    static CallerSession *longestIdle(const std::set<CallerSession *> &sessions);
 
 private:
     /** Tells the caller that no further response follows, and ends the wait for a request. */
@@ -107,6 +123,9 @@
     /** Cancelled at each change, which wakes the tasks that wait on the timer. */
     asio::steady_timer m_changed;
     const GatewayShutdown &m_shutdown;
+    MemoryGate &m_memory;
+    MemoryHold m_unsent;
+    TimePoint m_idleSince;
     std::uint64_t m_requestsRead = 0;
     std::uint64_t m_responsesSent = 0;
     std::map<std::uint64_t, RequestPtr> m_pendingRequests;
--- a/include/endivedock/gateway/gateway_server-inl.h
+++ b/include/endivedock/gateway/gateway_server-inl.h
@@ -10,8 +10,6 @@
 
 namespace gateway_detail {
 
-/** Request bodies up to this size are buffered for retries; longer ones are streamed. */
-constexpr std::size_t maxBufferedBodyBytes = 512 * 1024;
 /** Largest number of requests of one connection that run at the same time. */
 constexpr std::size_t maxPipelinedRequests = 16;
 /**
@@ -26,6 +24,8 @@
 constexpr Milliseconds minResponseWaitTimeout{60'000};
 /** Delay before the next connection is accepted after a failure to accept. */
 constexpr Milliseconds acceptRetryDelay{10};
+/** Responses up to this size fit into the memory that a connection counts for anyway. */
+constexpr std::size_t smallResponseBytes = 16 * 1024;
 /** Time for the first request on a connection that was accepted at the end of a planned stop. */
 constexpr Milliseconds stoppingIdleTimeout{500};
 
@@ -41,9 +41,13 @@
     , m_frontEnd(std::move(frontEnd))
     , m_placements(placements)
     , m_runGuard(runGuard)
+    , m_limits(admissionLimits(m_context.machine))
+    , m_memory(executor, m_limits.budget, m_context.metrics)
     , m_attempts(executor, m_context.metrics, m_frontEnd, placements)
     , m_lastArrival(SteadyClock().now())
 {
+    m_attempts.limitTargetConnections(m_limits.targets);
+    limitSocketBuffers();
     startTask(m_executor, "gateway-accept", accept());
 }
 
@@ -83,12 +87,49 @@
         asio::ip::tcp::socket socket(m_executor);
         m_acceptor.accept(socket, error);
         if (!error)
-            startTask(m_executor, "caller",
-                      serve(std::make_shared<CallerSession>(std::move(socket), m_executor,
-                                                            m_shutdown)));
+            startTask(m_executor, "caller", serve(makeSession(std::move(socket))));
     }
 }
 
+template <FrontEnd F, PlacementSource P, RunGuard R>
+SessionPtr GatewayServer<F, P, R>::makeSession(asio::ip::tcp::socket socket)
+{
+    return std::make_shared<CallerSession>(std::move(socket), m_executor, m_shutdown, m_memory);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+void GatewayServer<F, P, R>::limitSocketBuffers()
+{
+    const auto buffer = socketBufferSize(m_limits, m_sessions.size());
+    if (!buffer || buffer == m_socketBuffer)
+        return;
+    m_socketBuffer = buffer;
+    const int size = static_cast<int>(buffer->value());
+    // Accepted connections have the sizes of the listening socket. Without them, they are larger.
+    boost::system::error_code ignored;
+    m_acceptor.set_option(asio::socket_base::receive_buffer_size(size), ignored);
+    m_acceptor.set_option(asio::socket_base::send_buffer_size(size), ignored);
+}
+
+template <FrontEnd F, PlacementSource P, RunGuard R>
+bool GatewayServer<F, P, R>::makeRoomForConnection()
+{
+    CallerSession *const idlest = CallerSession::longestIdle(m_sessions);
+    std::string_view closed = "none";
+    if (idlest != nullptr) {
+        idlest->disconnect();
+        closed = "idle";
+    } else if (m_memory.takeBackOne(LoserChoice::OverdueOrLargest)) {
+        closed = "overdue";
+    }
+    m_context.metrics.count("endivedock_callers_shed_total", {{"closed", std::string(closed)}});
+    if (const std::uint64_t events = m_roomRate.record(SteadyClock().now()))
+        m_log.warning("Connections are short",
+                      {field("closed", closed), field("decisions", events),
+                       field("open", m_sessions.size()), field("limit", m_limits.callers.value())});
+    return closed != "none";
+}
+
 template <FrontEnd F, PlacementSource P, RunGuard R>
 GatewayActivity GatewayServer<F, P, R>::activity() const
 {
@@ -108,14 +149,18 @@
         if (error == asio::error::operation_aborted)
             co_return;
         if (error) {
-            m_log.warning("Accepting a connection failed", {field("error", error.message())});
+            if (m_acceptRate.record(SteadyClock().now()) > 0)
+                m_log.warning("Accepting a connection failed", {field("error", error.message())});
             // Most likely no file descriptors are left.
+            makeRoomForConnection();
             co_await sleepFor(gateway_detail::acceptRetryDelay);
             continue;
         }
-        startTask(
-                m_executor, "caller",
-                serve(std::make_shared<CallerSession>(std::move(socket), m_executor, m_shutdown)));
+        const auto limit = static_cast<std::size_t>(m_limits.callers.value());
+        if (m_sessions.size() >= limit && !makeRoomForConnection())
+            continue; // The new connection is closed.
+        limitSocketBuffers();
+        startTask(m_executor, "caller", serve(makeSession(std::move(socket))));
     }
 }
 
@@ -214,13 +259,16 @@
     request->responseOptions = {head.minorVersion, head.method == "HEAD", head.keepAlive};
     request->head = std::move(head);
     auto planned = m_frontEnd.plan(request->head, request->arrivedAt);
-    if (auto *plan = std::get_if<RequestPlan>(&planned))
+    std::optional<Refusal> refused;
+    if (auto *plan = std::get_if<RequestPlan>(&planned)) {
         request->plan = std::move(*plan);
-    else
-        request->plan.maxBodySize = Bytes(gateway_detail::maxBufferedBodyBytes);
-    const auto *refused = std::get_if<Refusal>(&planned);
-    if (refused == nullptr || refused->reason != RefusalReason::Unauthenticated)
-        co_await bufferBody(session->caller(), request);
+        refused = co_await bufferBody(session, request, m_memory);
+    } else {
+        refused = std::get<Refusal>(planned);
+        if (refused->reason != RefusalReason::Unauthenticated &&
+            refused->reason != RefusalReason::BodyTooLarge)
+            co_await discardBody(session, request, m_memory);
+    }
     const bool mustRunAlone = !request->isBodyBuffered || !request->plan.isIdempotent;
     while (session->hasPending() &&
            (mustRunAlone || session->isExclusive() ||
@@ -233,8 +281,8 @@
     if (!request->responseOptions.keepAlive || m_shutdown.isStopping)
         session->setClosing();
     session->add(request);
-    if (const auto *refusal = std::get_if<Refusal>(&planned)) {
-        co_await sendRefusal(session, request, *refusal);
+    if (refused) {
+        co_await sendRefusal(session, request, *refused);
         session->finish(*request);
         co_return;
     }
@@ -290,8 +338,11 @@
     if (auto *response = std::get_if<BufferedResponse>(&result)) {
         co_await session->awaitResponseTurn(request->sequenceNumber);
         session->decideKeepAlive(*request);
+        response->memory.awaitCaller(SteadyClock().now() + gateway_detail::maxLingerTime);
         co_await session->caller().sendResponse(response->head, response->body,
                                                 request->responseOptions);
+        if (response->body.size() > gateway_detail::smallResponseBytes)
+            session->holdUnsent(response->body.size());
     }
     recordResponseMetrics(*request);
 }
@@ -306,28 +357,6 @@
     m_context.metrics.observe("endivedock_added_seconds", labels, totalTime - request.targetTime);
 }
 
-template <FrontEnd F, PlacementSource P, RunGuard R>
-Task<> GatewayServer<F, P, R>::bufferBody(CallerConnection &caller, RequestPtr request)
-{
-    using namespace gateway_detail;
-    const BodyFraming &framing = request->head.framing;
-    const std::uint64_t expectedBytes =
-            framing.length.value_or(framing.chunked ? maxBufferedBodyBytes : 0);
-    const std::size_t bufferLimit = std::min<std::uint64_t>(expectedBytes, maxBufferedBodyBytes);
-    constexpr std::size_t growthStepBytes = 32 * 1024;
-    std::vector<char> &body = request->bufferedBody;
-    while (!caller.isBodyComplete() && body.size() < bufferLimit) {
-        const std::size_t filled = body.size();
-        body.resize(std::min(bufferLimit, filled + growthStepBytes));
-        const std::size_t count =
-                co_await caller.readBody({body.data() + filled, body.size() - filled});
-        body.resize(filled + count);
-    }
-    if (body.size() > request->plan.maxBodySize.value())
-        throw CallerRequestError(RefusalReason::BodyTooLarge);
-    request->isBodyBuffered = caller.isBodyComplete();
-}
-
 template <FrontEnd F, PlacementSource P, RunGuard R>
 Task<typename GatewayServer<F, P, R>::RequestResult>
 GatewayServer<F, P, R>::runWithClaim(SessionPtr session, RequestPtr request)
--- a/include/endivedock/gateway/gateway_server.h
+++ b/include/endivedock/gateway/gateway_server.h
@@ -2,6 +2,7 @@
 
 #include "endivedock/config.h"
 #include "endivedock/gateway/attempt_runner.h"
+#include "endivedock/gateway/body_reader.h"
 #include "endivedock/telemetry.h"
 
 #include <concepts>
@@ -14,6 +15,13 @@
 
 namespace endivedock {
 
+namespace gateway_detail {
+
+/** Time between two log lines on connections that found no room. */
+constexpr Milliseconds roomLogInterval{1000};
+
+} // namespace gateway_detail
+
 /** The claim to run a request that must run at most once. */
 struct RunClaim
 {
@@ -43,6 +51,8 @@
     HostId host;
     Metrics &metrics;
     Random &random;
+    /** What the machine allows the process; callers and targets get parts of it. */
+    MachineLimits machine = {};
 };
 
 /** The gateway's open connections and requests, which a graceful drain waits for. */
@@ -103,9 +113,18 @@
     Task<> sendResult(SessionPtr session, RequestPtr request, RequestResult result);
     /** Accepts the connections that callers have opened and the system holds for accept(). */
     void acceptBacklog();
+    SessionPtr makeSession(asio::ip::tcp::socket socket);
+    /** Sets the socket buffers of further connections, smaller the more connections are open. */
+    void limitSocketBuffers();
+    /**
+     * Closes the connection that has been idle for longest, or if none is idle, ends the exchange
+     * whose caller is overdue most.
+     *
+     * @return whether there was one
+     */
+    bool makeRoomForConnection();
     Task<RequestResult> runWithClaim(SessionPtr session, RequestPtr request);
     Task<RequestResult> runAttempts(SessionPtr session, RequestPtr request);
-    Task<> bufferBody(CallerConnection &caller, RequestPtr request);
     Task<> sendRefusal(SessionPtr session, RequestPtr request, Refusal refusal);
     PlacementRequest makePlacementRequest(const GatewayRequest &request, int attemptNumber) const;
     void recordResponseMetrics(const GatewayRequest &request);
@@ -116,6 +135,11 @@
     F m_frontEnd;
     P &m_placements;
     R &m_runGuard;
+    AdmissionLimits m_limits;
+    MemoryGate m_memory;
+    std::optional<Bytes> m_socketBuffer;
+    MessageRate m_roomRate{gateway_detail::roomLogInterval};
+    MessageRate m_acceptRate{gateway_detail::roomLogInterval};
     AttemptRunner<F, P> m_attempts;
     std::set<CallerSession *> m_sessions;
     TimePoint m_lastArrival;
--- a/include/endivedock/gateway/target_connection_pool.h
+++ b/include/endivedock/gateway/target_connection_pool.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace endivedock {
@@ -54,12 +55,16 @@
      *
      * @param limit        connections that this host may have open to the target
      * @param maxIdleTime  connections that have been idle for longer are closed instead of used
-     * @throws TargetConnectError if no connection is idle and @p limit is reached, or connecting
+     * @throws TargetConnectError if no connection is idle and a limit is reached, or connecting
      *         does not succeed by @p deadline
      */
     Task<PooledConnection> acquire(Address target, Connections limit, Milliseconds maxIdleTime,
                                    TimePoint deadline);
 
+    /** Bounds the connections to all targets; idle ones are closed to open others. */
+    void setLimit(Connections limit) { m_limit = limit; }
+    /** @return whether all connections that may be open are in use */
+    bool isFull() const;
     /** Closes the idle connections to @p target. */
     void closeIdle(const Address &target);
     /** @return the number of connections to @p target, idle and in use */
@@ -90,7 +95,15 @@
     /** Keeps a reusable connection as idle; closes any other. */
     void release(const Address &target, std::unique_ptr<TargetConnection> connection);
 
+    /**
+     * Closes the connection that has been idle longest if the limit is reached.
+     *
+     * @return whether another connection may be opened
+     */
+    bool makeRoom();
+
     asio::any_io_executor m_executor;
+    std::optional<Connections> m_limit;
     std::map<Address, Pool> m_pools;
 };
 
--- a/include/endivedock/host/settings.h
+++ b/include/endivedock/host/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endivedock/admission/admission_limits.h"
 #include "endivedock/core.h"
 #include "endivedock/telemetry.h"
 
@@ -51,6 +52,8 @@
     Milliseconds drainDelay{500};
     /** Time limit of one call to the store or to the host directory. */
     Milliseconds storeTimeout{1000};
+    /** Memory and descriptors of the process. */
+    MachineLimits machine;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/core/refusal.cpp
+++ b/src/core/refusal.cpp
@@ -28,6 +28,7 @@
         {"run-record-unavailable", "The record of this key cannot be read", 503, longDelay},
         {"target-refused", "The target refused without running the request", 503, shortDelay},
         {"target-failed", "The target failed during the request", 502, noDelay},
+        {"memory-short", "This host has no memory left for the request", 503, shortDelay},
         {"internal", "The host failed to handle the request", 500, noDelay},
 }};
 
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -5,6 +5,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace endivedock {
 
 namespace beast = boost::beast;
@@ -18,11 +21,23 @@
 constexpr Seconds bodyPieceTimeout{30};
 constexpr std::size_t scratchBufferBytes = 16 * 1024;
 constexpr unsigned httpVersion10 = 10;
+/** A read buffer that has grown beyond this is given back while the connection is idle. */
+constexpr std::size_t idleBufferBytes = 16 * 1024;
 
 using RequestParser = http::request_parser<http::buffer_body>;
 using Response = http::response<http::buffer_body>;
 using ResponseSerializer = http::response_serializer<http::buffer_body>;
 
+/**
+ * Receives what nobody needs. All connections share it, so that those that are refused hold nothing
+ * for what they send.
+ */
+std::span<char> discardBuffer()
+{
+    static std::array<char, scratchBufferBytes> buffer;
+    return buffer;
+}
+
 RequestHead makeHead(RequestParser &parser)
 {
     const auto &message = parser.get();
@@ -87,6 +102,8 @@
     Task<std::optional<RequestHead>> readHead(CallerLimits limits)
     {
         m_buffer.max_size(limits.header.value() + readAheadBytes);
+        if (m_buffer.size() == 0 && m_buffer.capacity() > idleBufferBytes)
+            releaseBuffers();
         if (!co_await awaitFirstByte(limits.idleTimeout))
             co_return std::nullopt;
         m_parser.emplace();
@@ -153,8 +170,8 @@
 
     Task<bool> discardInput(Milliseconds timeout)
     {
-        m_buffer.clear();
-        const std::span<char> piece = scratchBuffer();
+        releaseBuffers();
+        const std::span<char> piece = discardBuffer();
         boost::system::error_code error;
         m_stream.expires_after(timeout);
         co_await m_stream.async_read_some(asio::buffer(piece.data(), piece.size()),
@@ -168,6 +185,13 @@
         return m_buffer.size() > 0 || m_stream.socket().available(ignored) > 0;
     }
 
+    bool hasUnsent() const
+    {
+        int count = 0;
+        auto &socket = const_cast<beast::tcp_stream &>(m_stream).socket();
+        return ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0 && count > 0;
+    }
+
     void cancelRead() { m_stream.cancel(); }
 
     void startResponse(const ResponseHead &head, const ResponseOptions &options)
@@ -252,6 +276,14 @@
         return m_scratchBuffer;
     }
 
+    /** Gives back the memory for input, of which nothing is needed any more. */
+    void releaseBuffers()
+    {
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+        std::vector<char>().swap(m_scratchBuffer);
+    }
+
     void shutdownSend()
     {
         boost::system::error_code ignored; // The caller may have closed the connection first.
@@ -298,6 +330,16 @@
     return m_impl->readBody(into);
 }
 
+Task<std::size_t> CallerConnection::discardBody()
+{
+    return m_impl->readBody(discardBuffer());
+}
+
+bool CallerConnection::hasUnsent() const
+{
+    return m_impl->hasUnsent();
+}
+
 bool CallerConnection::isBodyComplete() const
 {
     return m_impl->isBodyComplete();
--- a/src/gateway/target_connection_pool.cpp
+++ b/src/gateway/target_connection_pool.cpp
@@ -47,12 +47,45 @@
         throw TargetConnectError(
                 formatAddress(target) +
                 ": all connections that this host may open to the target are in use");
+    if (!makeRoom())
+        throw TargetConnectError(formatAddress(target) +
+                                 ": all connections that this host may open are in use");
     ++m_pools[target].openCount;
     PooledConnection connection(*this, target, std::make_unique<TargetConnection>(m_executor));
     co_await connection->connect(target, deadline);
     co_return std::move(connection);
 }
 
+bool TargetConnectionPool::isFull() const
+{
+    int inUse = 0;
+    for (const auto &[address, pool] : m_pools)
+        inUse += pool.openCount - static_cast<int>(pool.idle.size());
+    return m_limit && inUse >= m_limit->value();
+}
+
+bool TargetConnectionPool::makeRoom()
+{
+    if (!m_limit)
+        return true;
+    int openCount = 0;
+    Pool *longest = nullptr;
+    for (auto &[address, pool] : m_pools) {
+        openCount += pool.openCount;
+        // Connections are used last in, first out, so the first is the one idle for longest.
+        if (!pool.idle.empty() &&
+            (longest == nullptr || pool.idle.front().idleSince < longest->idle.front().idleSince))
+            longest = &pool;
+    }
+    if (openCount < m_limit->value())
+        return true;
+    if (longest == nullptr)
+        return false;
+    longest->idle.erase(longest->idle.begin());
+    --longest->openCount;
+    return true;
+}
+
 void TargetConnectionPool::release(const Address &target,
                                    std::unique_ptr<TargetConnection> connection)
 {
--- a/src/host/entry_host.cpp
+++ b/src/host/entry_host.cpp
@@ -52,7 +52,8 @@
         , m_client(m_executor, {m_settings.id, m_configuration, m_metrics, m_random}, m_placers,
                    m_fleet)
         , m_runGuard(m_executor, m_settings.id, m_fleet, m_metrics)
-        , m_gateway(m_executor, m_settings.listen, {m_settings.id, m_metrics, m_random},
+        , m_gateway(m_executor, m_settings.listen,
+                    {m_settings.id, m_metrics, m_random, m_settings.machine},
                     NativeFrontEnd(m_configuration), m_client, m_runGuard)
         , m_admin(m_executor, m_settings.admin,
                   [this](const HttpServerRequest &request) { return handleAdminRequest(request); })
--- a/src/host/settings.cpp
+++ b/src/host/settings.cpp
@@ -12,6 +12,8 @@
 constexpr IntegerRange hostIdRange{1, 0xffff'ffff};
 constexpr IntegerRange drainDelayMsRange{0, 600'000};
 constexpr IntegerRange storeTimeoutMsRange{10, 60'000};
+constexpr IntegerRange memoryMbRange{32, 16 * 1024 * 1024};
+constexpr IntegerRange maxDescriptorsRange{64, 10'000'000};
 constexpr std::size_t keyHexDigits = 64;
 
 Address toAddress(const JsonNode &node)
@@ -44,6 +46,17 @@
     return key;
 }
 
+MachineLimits parseMachineLimits(const JsonNode &node)
+{
+    // Absent limits are those of the system.
+    MachineLimits limits;
+    if (const auto megabytes = node.integerOr("memoryMb", memoryMbRange, 0))
+        limits.memory = Bytes(static_cast<std::uint64_t>(megabytes) << 20);
+    if (const auto descriptors = node.integerOr("maxDescriptors", maxDescriptorsRange, 0))
+        limits.descriptors = static_cast<int>(descriptors);
+    return limits;
+}
+
 LogLevel parseLogLevel(const JsonNode &node)
 {
     const std::string name = node.stringOr("logLevel", "info");
@@ -61,7 +74,8 @@
 HostSettings parseSettings(const JsonNode &node)
 {
     node.expectOnlyFields({"host", "region", "zone", "listen", "admin", "peer", "peers", "store",
-                           "directory", "peerKeys", "drainDelayMs", "storeTimeoutMs", "logLevel"});
+                           "directory", "peerKeys", "drainDelayMs", "storeTimeoutMs", "memoryMb",
+                           "maxDescriptors", "logLevel"});
     HostSettings settings;
     settings.id = parseHostId(node);
     settings.region = RegionId(node.string("region"));
@@ -83,6 +97,7 @@
     settings.drainDelay = Milliseconds(node.integerOr("drainDelayMs", drainDelayMsRange, 500));
     settings.storeTimeout =
             Milliseconds(node.integerOr("storeTimeoutMs", storeTimeoutMsRange, 1000));
+    settings.machine = parseMachineLimits(node);
     settings.logLevel = parseLogLevel(node);
     return settings;
 }
--- a/tests/host/malformed_input_test.cpp
+++ b/tests/host/malformed_input_test.cpp
@@ -103,7 +103,7 @@
         R"({"host":1,"region":"n","zone":"a","listen":"127.0.0.1:1","admin":"127.0.0.1:2",
     "peer":"[::1]:3","peers":[{"host":2,"region":"n","zone":"b","address":"127.0.0.2:3"}],
     "store":["127.0.0.1:4"],"directory":"127.0.0.1:5","drainDelayMs":700,"storeTimeoutMs":900,
-    "logLevel":"debug",
+    "logLevel":"debug","memoryMb":160,"maxDescriptors":4000,
     "peerKeys":["0000000000000000000000000000000000000000000000000000000000000000"]})";
 
 void checkAddress(const Address &address)
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -20,7 +20,7 @@
     "internal_port_range": [7620, 7635],
     "seeds": ["10.1.0.15:8649", "10.2.0.42:8649"],
     "bootstrap": true,
-    "limits": {"cpu_share": 0.2, "cpu_cores": 2},
+    "limits": {"cpu_share": 0.2, "cpu_cores": 2, "memory_mb": 260, "max_fds": 4100},
     "bounds": ["retry_budget_ratio=0.2", "budget_min_retries=62", "grace_s=6", "other"],
     "provider": {"address": "10.200.1.7:8642", "form": "kv"}
 })";
@@ -103,6 +103,8 @@
         CPPUNIT_ASSERT(settings.seeds == std::vector{(Address{"10.2.0.42", 7620})});
         CPPUNIT_ASSERT(settings.isSeed && settings.isFleetBootstrap);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, settings.capacity, 1e-9);
+        CPPUNIT_ASSERT(settings.machine.memory == Bytes(260 << 20));
+        CPPUNIT_ASSERT(settings.machine.descriptors == 4100);
         CPPUNIT_ASSERT(settings.shutdownTimeout == Milliseconds(5500));
         CPPUNIT_ASSERT(settings.balancing.retryBudgetRatio < Share(0.2));
         CPPUNIT_ASSERT_EQUAL(std::size_t(64), settings.peerKey.size());
