--- a/include/endivedock/core/refusal.h
+++ b/include/endivedock/core/refusal.h
@@ -33,6 +33,7 @@
     RunRecordUnavailable,
     TargetRefused,
     TargetFailed,
+    MemoryShort,
     Internal,
 };
 
--- a/include/endivedock/edge/edge_host-inl.h
+++ b/include/endivedock/edge/edge_host-inl.h
@@ -111,7 +111,8 @@
     , m_readerSelector(m_self, m_settings.capacity)
     , m_freshness(m_executor, m_settings, m_registry, m_peers, m_readerSelector, m_random,
                   m_metrics, [this] { applyRegistryChange(); })
-    , m_gateway(m_executor, m_settings.callers, {m_self, m_metrics, m_random, startUsageAgent()},
+    , m_gateway(m_executor, m_settings.callers,
+                {m_self, m_metrics, m_random, startUsageAgent(), m_settings.machine},
                 P::makeFrontEnd({m_registry, m_roundRobin, m_freshness.freshness()}), m_placement,
                 m_runGuard)
     , m_readinessServer(m_executor, m_settings.readiness,
--- a/include/endivedock/gateway/attempt_runner.h
+++ b/include/endivedock/gateway/attempt_runner.h
@@ -20,6 +20,8 @@
 {
     ResponseHead head;
     std::vector<char> body;
+    /** The memory of a body that is not small. */
+    MemoryHold memory;
 };
 
 /** How an attempt ended, with the target's response if there is one. */
@@ -148,6 +150,8 @@
                             AttemptReport &report, RunningAttempt &attempt);
     /** @return see TargetConnectionPool::connectedTargets() */
     std::vector<AddressHash> connectedTargets() const { return m_pool.connectedTargets(); }
+    /** See TargetConnectionPool::setLimit(). */
+    void limitTargetConnections(Connections limit) { m_pool.setLimit(limit); }
 
 private:
     RequestHead makeTargetRequestHead(const GatewayRequest &request,
@@ -159,8 +163,7 @@
                                         RunningAttempt &attempt);
     Task<AttemptResult> streamResponse(SessionPtr session, RequestPtr request,
                                        TargetConnection &target, AttemptReport &report,
-                                       RunningAttempt &attempt, ResponseHead head,
-                                       std::vector<char> start);
+                                       RunningAttempt &attempt, BufferedResponse start);
     /** Records how an attempt ended whose response is not needed any more. */
     void recordUnneeded(const CallerSession &session, const RunningAttempt &attempt,
                         AttemptReport &report, TimePoint startedAt) const;
