--- a/tests/gateway/short_memory_test.cpp
+++ b/tests/gateway/short_memory_test.cpp
@@ -156,7 +156,7 @@
     GatewayServer<NativeFrontEnd, RefusingSource, UnguardedRuns> m_gateway{
             m_context.get_executor(),
             anyLoopbackAddress,
-            {HostId(1), m_metrics, m_random, smallMachine},
+            {HostId(1), m_metrics, m_random, nullptr, smallMachine},
             NativeFrontEnd(m_configuration),
             m_placements,
             m_runGuard};
