gateway: targets see again how many attempts were made before a retry

Cause: attempts are run by AttemptRace since hedges, which set the number of previous attempts for the hedge only. A retry reached its target without Retry-Attempt, so calls that the target makes for it counted as first attempts at the called service and raised its budget of retries; the log showed each retry as attempt 1. This holds without hedging as well.

Change: the race sets it for its first attempt, too.

--- a/include/endivedock/gateway/attempt_race-inl.h
+++ b/include/endivedock/gateway/attempt_race-inl.h
@@ -23,6 +23,7 @@
         self->cancel(self->m_hedge);
     };
     m_first.hasStarted = true;
+    m_first.attempt.previousAttempts = m_request->triedTargets.size();
     if (!mayHedge(target)) {
         co_await runFirst(self, std::move(request), std::move(target));
     } else {
--- a/tests/gateway/hedging_test.cpp
+++ b/tests/gateway/hedging_test.cpp
@@ -34,6 +34,8 @@
     Address address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
 
     int requests = 0;
+    /** The start of the last request, with its header. */
+    std::string lastRequest;
     /** Requests that have neither been answered nor cancelled. */
     int open = 0;
     /** Connections that were closed before their response was due. */
@@ -51,10 +53,11 @@
     {
         std::array<char, 4096> piece{};
         boost::system::error_code error;
-        co_await socket.async_read_some(asio::buffer(piece),
-                                        asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t size = co_await socket.async_read_some(
+                asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return;
+        lastRequest.assign(piece.data(), size);
         ++requests;
         ++open;
         asio::steady_timer due(socket.get_executor(), m_delay);
@@ -246,6 +249,7 @@
     CPPUNIT_TEST(failedFirstAttemptWaitsForItsHedge);
     CPPUNIT_TEST(failedHedgeWaitsForTheFirstAttempt);
     CPPUNIT_TEST(bothFailedAndTheRetryGoesElsewhere);
+    CPPUNIT_TEST(targetsSeeHowManyAttemptsWereMade);
     CPPUNIT_TEST(streamedResponseWinsWithItsHead);
     CPPUNIT_TEST(deadlineEndsBothAttempts);
     CPPUNIT_TEST_SUITE_END();
@@ -366,6 +370,21 @@
         CPPUNIT_ASSERT_EQUAL(3, int(retry.attempt.number));
     }
 
+    /** By it, targets mark their calls as part of a retry, which count as retries there. */
+    void targetsSeeHowManyAttemptsWereMade()
+    {
+        const std::string field = "Retry-Attempt: ";
+        Fixture hedged(slow, slow, "", "");
+        checkResponse("third", hedged.send());
+        CPPUNIT_ASSERT_EQUAL(0, countOf(hedged.first.lastRequest, field));
+        CPPUNIT_ASSERT_EQUAL(1, countOf(hedged.hedge.lastRequest, field + "1\r\n"));
+        CPPUNIT_ASSERT_EQUAL(1, countOf(hedged.third.lastRequest, field + "2\r\n"));
+        Fixture retried(Milliseconds(0), never, "");
+        retried.placements.advisedHedgeAfter = Milliseconds(0);
+        checkResponse("third", retried.send());
+        CPPUNIT_ASSERT_EQUAL(1, countOf(retried.third.lastRequest, field + "1\r\n"));
+    }
+
     /** Both responses are too long to be buffered; only one may be written to the caller. */
     void streamedResponseWinsWithItsHead()
     {
