balancing: a zone without usable targets passes requests on also to full zones

Cause: a zone without usable targets passes on as many requests as other zones have stated room for. Beyond that its placing host granted targets of the other zones itself, as a last resort meant for a service without any usable target: without knowing their load, without a limit, and past the queues there. When the targets of one zone end while its hosts run, the other zones are full soon, and all further requests overfill their targets.

Change: such a request goes to the placing host of another zone also if that has no room, where it waits or is refused. The last resort remains while no zone states its room.

Measured: ZonesTest::zoneWithoutUsableTargetsDoesNotOverfillOthers failed before (host of the first zone granted a target of another one); balancing_test and zones_test pass.

--- a/include/endivedock/zones/room_of_zones.h
+++ b/include/endivedock/zones/room_of_zones.h
@@ -30,6 +30,13 @@
      * @return nothing if no zone has room for this zone
      */
     std::optional<ZoneId> takeSlot(double maxSlowdown, TimePoint now);
+    /**
+     * Takes what a zone may hardly give, for a request that cannot be placed in the own zone at
+     * all: it waits or is refused in the zone in which this zone has taken least of its part.
+     *
+     * @return nothing if no zone has stated its room recently
+     */
+    std::optional<ZoneId> takePlaceInQueue(TimePoint now);
 
     /**
      * A statement of room is used for this long, twice the longest interval between statements. A
@@ -40,12 +47,17 @@
 private:
     struct Known
     {
-        /** Slots that this zone may still take; a fraction of a slot may be left. */
+        /**
+         * Slots that this zone may still take; a fraction of a slot may be left. Below zero after
+         * takePlaceInQueue().
+         */
         double allowance = 0;
         double slowdown = 1;
         TimePoint at{};
     };
 
+    std::optional<ZoneId> take(double minAllowance, double maxSlowdown, TimePoint now);
+
     std::map<ZoneId, Known> m_zones;
 };
 
--- a/src/balancing/balancer_zones.cpp
+++ b/src/balancing/balancer_zones.cpp
@@ -75,6 +75,9 @@
     if (hasRoom)
         maxSlowdown = expectedSlowdown(*decision.chosen->target, now) / slowZoneFactor;
     auto zone = m_roomOfZones.takeSlot(maxSlowdown, now);
+    // Only the placing hosts of the other zones know how full their targets are.
+    if (!zone && decision.isLastResort)
+        zone = m_roomOfZones.takePlaceInQueue(now);
     if (!zone)
         return std::nullopt;
     ++m_counters.spilled;
--- a/src/zones/room_of_zones.cpp
+++ b/src/zones/room_of_zones.cpp
@@ -1,6 +1,7 @@
 #include "endivedock/zones/room_of_zones.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace endivedock {
 
@@ -28,11 +29,23 @@
 }
 
 std::optional<ZoneId> RoomOfZones::takeSlot(double maxSlowdown, TimePoint now)
+{
+    return take(1, maxSlowdown, now);
+}
+
+std::optional<ZoneId> RoomOfZones::takePlaceInQueue(TimePoint now)
+{
+    constexpr double any = std::numeric_limits<double>::max();
+    return take(-any, any, now);
+}
+
+std::optional<ZoneId> RoomOfZones::take(double minAllowance, double maxSlowdown, TimePoint now)
 {
     auto best = m_zones.end();
     for (auto position = m_zones.begin(); position != m_zones.end(); ++position) {
         const Known &known = position->second;
-        if (now - known.at > maxRoomAge || known.allowance < 1 || known.slowdown > maxSlowdown)
+        if (now - known.at > maxRoomAge || known.allowance < minAllowance ||
+            known.slowdown > maxSlowdown)
             continue;
         if (best == m_zones.end() || known.allowance > best->second.allowance)
             best = position;
--- a/tests/balancing/zones_test.cpp
+++ b/tests/balancing/zones_test.cpp
@@ -196,6 +196,7 @@
     CPPUNIT_TEST(shiftingDemandIsServed);
     CPPUNIT_TEST(cutZoneKeepsItsRequests);
     CPPUNIT_TEST(zoneWithoutUsableTargetsPassesAllOn);
+    CPPUNIT_TEST(zoneWithoutUsableTargetsDoesNotOverfillOthers);
     CPPUNIT_TEST(retriesOfAllZonesStayWithinTheBudget);
     CPPUNIT_TEST(coldTargetIsUsedByItsZoneOnly);
     CPPUNIT_TEST(loadIsReportedForTheOwnZoneOnly);
@@ -259,6 +260,23 @@
         CPPUNIT_ASSERT_EQUAL(0, fleet.refused);
     }
 
+    /** They wait or are refused by the placing hosts of the full zones, which know the loads. */
+    void zoneWithoutUsableTargetsDoesNotOverfillOthers()
+    {
+        Fleet fleet;
+        fleet.balancer(0).setEvacuatedZones({zones[0]}, fleet.now());
+        for (std::size_t zone = 1; zone < zones.size(); ++zone) {
+            for (int i = 0; i < roomPerZone; ++i)
+                fleet.request(zone);
+        }
+        for (int i = 0; i < roomPerZone * 4; ++i)
+            fleet.request(0);
+        // Fleet checks that each placing host grants targets of its own zone only.
+        CPPUNIT_ASSERT_EQUAL(roomPerZone * 4, fleet.spilled);
+        for (std::size_t zone = 1; zone < zones.size(); ++zone)
+            CPPUNIT_ASSERT_EQUAL(0, fleet.grantedAt(0, zone));
+    }
+
     void retriesOfAllZonesStayWithinTheBudget()
     {
         Fleet fleet;
