usage: refuse records whose windows are out of range

Cause: a record in the store whose "through" is near 2^63, or 2^60, passed the check. The times of the windows after it overflow, so the loop that closes windows would take them in without end and hold the host's only thread. Change: numbers of windows in a record are bounded; a record beyond counts as malformed. Conclusion: a corrupt record no longer stops a host. A time of a term near 2^63 still overflows once in a comparison.

--- a/src/usage/usage_record.cpp
+++ b/src/usage/usage_record.cpp
@@ -3,6 +3,7 @@
 #include "endivedock/json.h"
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
 
 #include <boost/json/array.hpp>
@@ -21,6 +22,10 @@
  * stays exact as a double-precision number until the year 2248.
  */
 constexpr unsigned hostBits = 10;
+/** So that the times of windows of up to an hour, and of those that follow, do not overflow. */
+constexpr std::int64_t maxWindow =
+        std::numeric_limits<std::int64_t>::max() / Milliseconds(std::chrono::hours(2)).count();
+constexpr IntegerRange windowRange{0, maxWindow};
 
 HostId hostField(const JsonNode &node, std::string_view field)
 {
@@ -57,10 +62,10 @@
         record.holder = hostField(node, "holder");
         record.previousHolder = hostField(node, "previous_holder");
         record.termStartedAt = Milliseconds(node.integer("term_started_ms", notNegative));
-        record.through = UsageWindow(node.integer("through", notNegative));
+        record.through = UsageWindow(node.integer("through", windowRange));
         for (const auto &entry : node.list("unconfirmed")) {
             TeamCounts &counts =
-                    record.unconfirmed[UsageWindow(entry.integer("window", notNegative))];
+                    record.unconfirmed[UsageWindow(entry.integer("window", windowRange))];
             const JsonNode teams = entry.at("counts");
             for (const auto &[team, count] : teams.members())
                 counts[TeamId(team)] = static_cast<std::uint64_t>(teams.integer(team, notNegative));
--- a/tests/usage/usage_test.cpp
+++ b/tests/usage/usage_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <limits>
 
 using namespace endivedock;
 
@@ -136,6 +137,12 @@
         std::string negative = text;
         negative.replace(negative.find(":3}"), 3, ":-1}");
         CPPUNIT_ASSERT_THROW(decodeUsageRecord(negative), UsageRecordError);
+        // The times of such a window overflow, and a holder would take in windows without end.
+        record.through = UsageWindow(std::numeric_limits<std::int64_t>::max());
+        CPPUNIT_ASSERT_THROW(decodeUsageRecord(encodeUsageRecord(record)), UsageRecordError);
+        record.through = first;
+        record.unconfirmed[UsageWindow(std::int64_t{1} << 60)] = {};
+        CPPUNIT_ASSERT_THROW(decodeUsageRecord(encodeUsageRecord(record)), UsageRecordError);
     }
 
     void tokensRise()
