usage: a first term takes in no window from before the host's start

Cause: a host that finds no record took all windows of which it had counts as never reported. If the store had come back from a copy without the record, or the record was malformed, and a host that had just started claimed the duty, it got the counts of earlier windows from the collectors and could report them again with other counts. Change: a first term begins with the window in which the host started, at the earliest. Measured: aNewHostWithoutARecordRepeatsNoWindow failed before the change (2 windows recorded, 1 expected). usage_test passes with it (25 tests), also with ENDIVEDOCK_USAGE_RUNS=1500. Conclusion: at the first start of a fleet, windows before the start of the first holder are not reported. A host that started before a window, and whose copy never showed the record of it, may still report it again.

--- a/src/usage/usage_duty.cpp
+++ b/src/usage/usage_duty.cpp
@@ -195,8 +195,12 @@
     m_isFirstTerm = record.token == FencingToken(0);
     if (m_isFirstTerm) {
         const UsageWindow current = windowAt(view.timeOfDay, m_settings.windowLength);
+        // Windows that ended before this host started may have been reported by a holder whose
+        // record the store has lost.
+        const UsageWindow oldest = std::max(windowAt(m_startedAt, m_settings.windowLength),
+                                            view.tally.firstWindow().value_or(current));
         record.holder = m_self;
-        record.through = after(std::min(current, view.tally.firstWindow().value_or(current)), -1);
+        record.through = after(std::min(current, oldest), -1);
     }
     if (record.holder != m_self || m_isFirstTerm)
         record.previousHolder = record.holder;
--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -296,6 +296,7 @@
     CPPUNIT_TEST(recordedCountsStayWhenOthersArrive);
     CPPUNIT_TEST(countsThatAllHostsLostAreNotInvented);
     CPPUNIT_TEST(aClockASecondOffMissesNoWindow);
+    CPPUNIT_TEST(aNewHostWithoutARecordRepeatsNoWindow);
     CPPUNIT_TEST(tokensRiseWhenTheStoreGoesBack);
     CPPUNIT_TEST(randomDisruptionsBreakNoRule);
     CPPUNIT_TEST_SUITE_END();
@@ -499,6 +500,25 @@
         }
     }
 
+    void aNewHostWithoutARecordRepeatsNoWindow()
+    {
+        // The store has come back from a copy without the record; hosts that run know counts of
+        // windows that another one may have reported before this host started.
+        const UsageWindow started = windowAt(startOfDay, settings.windowLength);
+        UsageDuty duty(HostId(1), settings, startOfDay, Milliseconds(0));
+        UsageTally tally;
+        for (std::int64_t window = -2; window <= 0; ++window)
+            tally.merge({HostId(2), Incarnation(1), after(started, window), {{team, 7}}});
+        const Milliseconds afterWindow = startOfDay + settings.windowLength + Milliseconds(2500);
+        duty.recordClaimed(TimePoint{});
+        const UsageView view{TimePoint{}, afterWindow, HostId(1), nullptr, 0, true, tally};
+        const UsageStep step = duty.next(view);
+        const auto *write = std::get_if<usage_step::WriteRecord>(&step);
+        CPPUNIT_ASSERT(write != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), write->record.unconfirmed.size());
+        CPPUNIT_ASSERT(write->record.unconfirmed.contains(started));
+    }
+
     void tokensRiseWhenTheStoreGoesBack()
     {
         Fleet fleet(3);
