usage: names of teams that are no longer counted make room

Cause: UsageTally keeps at most 16,384 names and forgot them only when it had no window at all, which does not happen under traffic. After as many different names in the life of a process, requests of new teams were left out of reports without a word. Change: when a window is forgotten and a quarter of the names are taken, the names that remaining windows do not use are dropped. Measured: teamsThatAreNoLongerCountedMakeRoom failed before the change (4 teams counted, 4096 expected). usage_test passes with it (26 tests). Conclusion: only more than 16,384 names in the windows that are kept at once still lose counts.

--- a/include/endivedock/usage/usage_tally.h
+++ b/include/endivedock/usage/usage_tally.h
@@ -40,6 +40,8 @@
     using Counts = std::vector<std::pair<TeamIndex, std::uint32_t>>;
 
     std::optional<TeamIndex> indexOf(const TeamId &team);
+    /** Makes room for names of teams that have yet to come. */
+    void forgetUnusedTeams();
 
     std::map<UsageWindow, std::map<Source, Counts>> m_windows;
     std::map<TeamId, TeamIndex> m_indices;
--- a/src/usage/usage_tally.cpp
+++ b/src/usage/usage_tally.cpp
@@ -3,6 +3,7 @@
 #include "endivedock/usage/own_usage.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace endivedock {
 
@@ -49,11 +50,23 @@
 
 void UsageTally::keepOnly(UsageWindow first, UsageWindow last)
 {
-    std::erase_if(m_windows,
-                  [&](const auto &entry) { return entry.first < first || last < entry.first; });
-    if (m_windows.empty()) {
-        m_indices.clear();
-        m_teams.clear();
+    const auto forgotten = std::erase_if(m_windows, [&](const auto &entry) {
+        return entry.first < first || last < entry.first;
+    });
+    if (forgotten > 0 && m_teams.size() > maxTeamNames / 4)
+        forgetUnusedTeams();
+}
+
+void UsageTally::forgetUnusedTeams()
+{
+    const std::vector<TeamId> teams = std::exchange(m_teams, {});
+    m_indices.clear();
+    for (auto &[window, sources] : m_windows) {
+        for (auto &[source, counts] : sources) {
+            for (auto &[index, count] : counts)
+                index = indexOf(teams.at(index.value())).value();
+            std::sort(counts.begin(), counts.end());
+        }
     }
 }
 
--- a/tests/usage/usage_test.cpp
+++ b/tests/usage/usage_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(repeatedAndReorderedMessagesCountOnce);
     CPPUNIT_TEST(aRestartedHostAddsToWhatItCountedBefore);
     CPPUNIT_TEST(teamsAreBounded);
+    CPPUNIT_TEST(teamsThatAreNoLongerCountedMakeRoom);
     CPPUNIT_TEST(recordsSurviveTheStore);
     CPPUNIT_TEST(malformedRecordsAreRefused);
     CPPUNIT_TEST(tokensRise);
@@ -114,6 +115,24 @@
         CPPUNIT_ASSERT(!divide(message));
     }
 
+    void teamsThatAreNoLongerCountedMakeRoom()
+    {
+        UsageTally tally;
+        for (std::int64_t number = 0; number < 6; ++number) {
+            const UsageWindow window = after(first, number);
+            UsageCounts message{HostId(1), Incarnation(1), window, {{alder, 2}}};
+            for (std::size_t team = 1; team < OwnUsage::maxTeams; ++team)
+                message.teams.push_back(
+                        {TeamId(std::to_string(number) + "-" + std::to_string(team)), 1});
+            tally.merge(message);
+            tally.keepOnly(after(window, -1), window); // Windows with counts remain at all times.
+            const TeamCounts totals = tally.totals(window);
+            CPPUNIT_ASSERT_EQUAL(OwnUsage::maxTeams, totals.size());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), totals.at(alder));
+            CPPUNIT_ASSERT(tally.counts().back().teams.size() == OwnUsage::maxTeams);
+        }
+    }
+
     void recordsSurviveTheStore()
     {
         UsageRecord record;
