usage: the random disruptions carry out writes of the record late

Cause: the store may carry out a call that got no answer seconds later, if its condition still holds; the model did this only to reports. Change: a share of the writes, up to 39 % by seed, gets no answer and is carried out up to 5 s later.

--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -115,6 +115,11 @@
             std::erase_if(m_late, [&](const LateCall &call) { return call.at <= now; });
             for (const auto &call : due)
                 receiver.accept(call.host, call.report, now);
+            std::erase_if(m_lateWrites, [&](const LateWrite &write) {
+                if (write.at <= now)
+                    writeIfUnchanged(write.step);
+                return write.at <= now;
+            });
             if (hasTraffic)
                 count();
             // The copies of the store that hosts have are a little older than the store.
@@ -153,6 +158,8 @@
     /** Shares of calls, in percent, whose answer is lost, and that are carried out late. */
     unsigned lostAnswers = 0;
     unsigned lateCalls = 0;
+    /** Share of writes of the record, in percent, that are carried out late if nothing changed. */
+    unsigned lateWrites = 0;
     bool isThrottling = false;
     std::map<UnreportedCause, int> unreported;
     /** When each host last called the receiver. */
@@ -166,6 +173,12 @@
         UsageReport report;
     };
 
+    struct LateWrite
+    {
+        TimePoint at;
+        usage_step::WriteRecord step;
+    };
+
     /** Each host counts a request, and all hosts learn of it. */
     void count()
     {
@@ -237,14 +250,23 @@
         if (canReachStore(host) && store.holder == id)
             store.holder.reset();
     }
-    void carryOut(HostId, Host &host, const usage_step::WriteRecord &action)
+    bool writeIfUnchanged(const usage_step::WriteRecord &action)
     {
         const Revision current = store.record ? store.record->revision : Revision(0);
-        const bool isWritten = canReachStore(host) && current == action.expected;
-        if (isWritten) {
-            store.revision = Revision(std::max(store.revision, current).value() + 1);
-            store.record = {action.record, store.revision};
+        if (current != action.expected)
+            return false;
+        store.revision = Revision(std::max(store.revision, current).value() + 1);
+        store.record = {action.record, store.revision};
+        return true;
+    }
+    void carryOut(HostId, Host &host, const usage_step::WriteRecord &action)
+    {
+        if (lateWrites > 0 && canReachStore(host) && drawPercent() < lateWrites) {
+            m_lateWrites.push_back({now + Milliseconds(m_random() % 5000), action});
+            host.duty->recordWriteUnknown(now);
+            return;
         }
+        const bool isWritten = canReachStore(host) && writeIfUnchanged(action);
         if (!canReachStore(host) || drawPercent() < lostAnswers)
             host.duty->recordWriteUnknown(now);
         else if (isWritten)
@@ -275,6 +297,7 @@
     std::vector<StoreState> m_copies;
     std::map<HostId, StoreState> m_frozenCopies;
     std::vector<LateCall> m_late;
+    std::vector<LateWrite> m_lateWrites;
 };
 
 } // namespace
@@ -550,6 +573,7 @@
             Fleet fleet(5, seed);
             fleet.lostAnswers = random() % 30;
             fleet.lateCalls = random() % 30;
+            fleet.lateWrites = seed % 40;
             for (auto &[id, host] : fleet.hosts)
                 host.clockOffset = Milliseconds(static_cast<int>(random() % 2001) - 1000);
             for (int round = 0; round < 25; ++round) {
