usage: a host that started after the store's return repeats no window

Cause: the store came back from an older copy, a host that had just started claimed the duty, and its term built on the older record: windows that the last holder had reported were recorded and reported again with other counts. Change: a term that begins with a record of a store that came back gives up the windows that ended before the host started, and says so. Measured: aNewHostWithAnOlderRecordRepeatsNoWindow failed before the change (2 windows recorded, 1 expected). usage_test passes with it (27 tests), also with ENDIVEDOCK_USAGE_RUNS=2000. Conclusion: costs a host that takes the duty within seconds of its start the windows before it, once the store has ever come back. A host that was cut off from the store when it went back may still repeat a window.

--- a/include/endivedock/edge/usage_agent.h
+++ b/include/endivedock/edge/usage_agent.h
@@ -140,12 +140,13 @@
 template <EdgePlatform P>
 std::optional<StoredUsageRecord> UsageAgent<P>::parse(const StoreEntry &entry) const
 {
+    const bool isRestored = eraOf(entry.modRevision) > StoreEra(0);
     try {
-        return StoredUsageRecord{decodeUsageRecord(entry.value), entry.modRevision};
+        return StoredUsageRecord{decodeUsageRecord(entry.value), entry.modRevision, isRestored};
     } catch (const UsageRecordError &error) {
         m_log.warning("Usage record is malformed; starting with an empty one",
                       {field("error", error.what())});
-        return StoredUsageRecord{UsageRecord{}, entry.modRevision};
+        return StoredUsageRecord{UsageRecord{}, entry.modRevision, isRestored};
     }
 }
 
--- a/include/endivedock/usage/usage_duty.h
+++ b/include/endivedock/usage/usage_duty.h
@@ -38,6 +38,8 @@
 {
     UsageRecord record;
     Revision revision;
+    /** The store has come back from an older copy, so windows may be missing in the record. */
+    bool isRestored = false;
 };
 
 /** What a host knows when it decides on its next step. */
@@ -97,6 +99,8 @@
     CountsLost,
     /** No holder could record it in time. */
     RecordedTooLate,
+    /** A holder may have reported it whose record the store has lost. */
+    MayBeReported,
     /** The receiver confirmed no report in time; it may have carried one out. */
     NotConfirmed
 };
@@ -203,6 +207,8 @@
     /** The record as the store has it, as far as this host knows. */
     UsageRecord m_record;
     Revision m_recordRevision;
+    /** Whether windows may be missing in the record with which the term began. */
+    bool m_isRestored = false;
     /** Whether the store had no record when the term began: no counts were lost before it. */
     bool m_isFirstTerm = false;
     /** The newest record that this host has seen; newer than the store's if that went back. */
--- a/src/usage/usage_duty.cpp
+++ b/src/usage/usage_duty.cpp
@@ -33,6 +33,8 @@
         return "counts lost";
     case UnreportedCause::RecordedTooLate:
         return "no holder recorded it in time";
+    case UnreportedCause::MayBeReported:
+        return "it may have been reported before";
     case UnreportedCause::NotConfirmed:
         break;
     }
@@ -109,6 +111,7 @@
     m_nextWriteAt = {};
     m_recordRevision = Revision(0);
     m_record = {};
+    m_isRestored = false;
     m_vacantSince.reset();
 }
 
@@ -188,6 +191,7 @@
     if (view.record && view.record->revision > m_recordRevision) {
         m_record = view.record->record;
         m_recordRevision = view.record->revision;
+        m_isRestored = view.record->isRestored;
     }
     observe(m_record);
     // The store may have come back from an older copy.
@@ -238,6 +242,8 @@
         isChanged = true;
         if (view.timeOfDay > endOf(window) + m_settings.lateAfter)
             m_givenUp.push_back({window, UnreportedCause::RecordedTooLate});
+        else if (m_isRestored && endOf(window) <= m_startedAt)
+            m_givenUp.push_back({window, UnreportedCause::MayBeReported});
         else if (!isCovered(window, view))
             m_givenUp.push_back({window, UnreportedCause::CountsLost});
         else
@@ -284,6 +290,7 @@
     m_writing.reset();
     m_record = stored ? std::move(stored->record) : UsageRecord{};
     m_recordRevision = stored ? stored->revision : Revision(0);
+    m_isRestored = stored && stored->isRestored;
     if (!stored) // This host's copy of the store has yet to show that the record is gone.
         m_nextWriteAt = now + storeRetryDelay;
 }
--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -320,6 +320,7 @@
     CPPUNIT_TEST(countsThatAllHostsLostAreNotInvented);
     CPPUNIT_TEST(aClockASecondOffMissesNoWindow);
     CPPUNIT_TEST(aNewHostWithoutARecordRepeatsNoWindow);
+    CPPUNIT_TEST(aNewHostWithAnOlderRecordRepeatsNoWindow);
     CPPUNIT_TEST(tokensRiseWhenTheStoreGoesBack);
     CPPUNIT_TEST(randomDisruptionsBreakNoRule);
     CPPUNIT_TEST_SUITE_END();
@@ -542,6 +543,37 @@
         CPPUNIT_ASSERT(write->record.unconfirmed.contains(started));
     }
 
+    void aNewHostWithAnOlderRecordRepeatsNoWindow()
+    {
+        const UsageWindow started = windowAt(startOfDay, settings.windowLength);
+        StoredUsageRecord older{{}, Revision(9), true};
+        older.record.token = FencingToken(5);
+        older.record.through = after(started, -2);
+        UsageTally tally; // Contains counts of hosts that started earlier.
+        for (std::int64_t window = -1; window <= 0; ++window)
+            tally.merge({HostId(2), Incarnation(1), after(started, window), {{team, 7}}});
+        const Milliseconds afterWindow = startOfDay + settings.windowLength + Milliseconds(2500);
+        for (const bool isInView : {true, false}) {
+            UsageDuty duty(HostId(1), settings, startOfDay, Milliseconds(0));
+            duty.recordClaimed(TimePoint{});
+            const StoredUsageRecord *record = isInView ? &older : nullptr;
+            const UsageView view{TimePoint{}, afterWindow, HostId(1), record, 0, true, tally};
+            if (!isInView) {
+                duty.next(view);
+                duty.recordConflict(older, TimePoint{});
+            }
+            const UsageStep step = duty.next(view);
+            const auto *write = std::get_if<usage_step::WriteRecord>(&step);
+            CPPUNIT_ASSERT(write != nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), write->record.unconfirmed.size());
+            CPPUNIT_ASSERT(write->record.unconfirmed.contains(started));
+            duty.recordWritten(Revision(10));
+            const auto unreported = duty.takeUnreported();
+            CPPUNIT_ASSERT(unreported.size() == 1 &&
+                           unreported[0].cause == UnreportedCause::MayBeReported);
+        }
+    }
+
     void tokensRiseWhenTheStoreGoesBack()
     {
         Fleet fleet(3);
