usage: a former holder waits also when the store forgets who came after it

Cause: whether a host that started again had been the holder before was read from the record as the store shows it. After the store's return to an older copy that is the host's own term, so it claimed at once: A, B, A within a lease. Change: the newest record that the host has seen decides. Measured: aFormerHolderWaitsAlsoWhenTheStoreGoesBack failed before the change. usage_test passes with it (28 tests), also with ENDIVEDOCK_USAGE_RUNS=2000. Conclusion: holds while the host saw the later term before the store lost it.

--- a/src/usage/usage_duty.cpp
+++ b/src/usage/usage_duty.cpp
@@ -93,10 +93,9 @@
     if (view.now < *m_vacantSince + delay || view.now < m_standAgainAt)
         return wait;
     // Also a host that has started again since its last term, and no longer knows of it.
-    const bool wasHolderBefore = view.record && view.record->record.holder != m_self &&
-                                 view.record->record.previousHolder == m_self;
+    const bool wasHolderBefore = m_newest.holder != m_self && m_newest.previousHolder == m_self;
     if (wasHolderBefore &&
-        view.timeOfDay < view.record->record.termStartedAt + leasesBetweenTerms * m_settings.lease)
+        view.timeOfDay < m_newest.termStartedAt + leasesBetweenTerms * m_settings.lease)
         return wait;
     return usage_step::Claim{};
 }
--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -321,6 +321,7 @@
     CPPUNIT_TEST(aClockASecondOffMissesNoWindow);
     CPPUNIT_TEST(aNewHostWithoutARecordRepeatsNoWindow);
     CPPUNIT_TEST(aNewHostWithAnOlderRecordRepeatsNoWindow);
+    CPPUNIT_TEST(aFormerHolderWaitsAlsoWhenTheStoreGoesBack);
     CPPUNIT_TEST(tokensRiseWhenTheStoreGoesBack);
     CPPUNIT_TEST(randomDisruptionsBreakNoRule);
     CPPUNIT_TEST_SUITE_END();
@@ -574,6 +575,27 @@
         }
     }
 
+    void aFormerHolderWaitsAlsoWhenTheStoreGoesBack()
+    {
+        // Started again since its term; the store then forgets the term of the host after it.
+        UsageDuty duty(HostId(2), settings, startOfDay, Milliseconds(0));
+        UsageRecord own;
+        own.token = FencingToken(5);
+        own.holder = HostId(2);
+        UsageRecord others{FencingToken(9), HostId(1), HostId(2), startOfDay, {}, {}};
+        const StoredUsageRecord newest{others, Revision(9)};
+        const StoredUsageRecord older{own, Revision(10), true};
+        const UsageTally tally;
+        duty.next({TimePoint{}, startOfDay, HostId(1), &newest, 0, true, tally});
+        const auto stepAt = [&](Milliseconds time) {
+            return duty.next(
+                    {TimePoint{} + time, startOfDay + time, std::nullopt, &older, 0, true, tally});
+        };
+        for (Milliseconds time(0); time < 4 * settings.lease; time += Milliseconds(100))
+            CPPUNIT_ASSERT(!std::holds_alternative<usage_step::Claim>(stepAt(time)));
+        CPPUNIT_ASSERT(std::holds_alternative<usage_step::Claim>(stepAt(4 * settings.lease)));
+    }
+
     void tokensRiseWhenTheStoreGoesBack()
     {
         Fleet fleet(3);
