usage: the store's return is among the random disruptions

Change: the store returns at random, at moments at which all hosts know its last state. Conclusion: returns that some hosts have not followed stay a known limit, and are not in the model.

--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -133,6 +133,28 @@
         }
     }
 
+    /** Lets the store come back from a copy, without leases, if all hosts know its last state. */
+    void returnStoreTo(const StoreState &copy)
+    {
+        const bool isFollowed = std::all_of(hosts.begin(), hosts.end(), [&](const auto &entry) {
+            const Host &host = entry.second;
+            return host.isAlive && host.reachesStore && now >= host.pausedUntil;
+        });
+        if (!isFollowed || isStoreAway || !m_lateWrites.empty())
+            return;
+        const Revision before = store.revision;
+        run(Milliseconds(600));
+        if (store.revision != before || !m_lateWrites.empty())
+            return;
+        m_hasReturned = true;
+        store = copy;
+        store.revision = Revision(before.value() + 1);
+        store.holder.reset();
+        if (store.record)
+            store.record = {store.record->record, store.revision, true};
+        ++returns;
+    }
+
     Milliseconds timeOfDay() const { return startOfDay + toMilliseconds(now.time_since_epoch()); }
     HostId holder() const
     {
@@ -162,6 +184,7 @@
     unsigned lateWrites = 0;
     bool isThrottling = false;
     std::map<UnreportedCause, int> unreported;
+    int returns = 0;
     /** When each host last called the receiver. */
     std::map<HostId, TimePoint> lastCalls;
 
@@ -256,7 +279,7 @@
         if (current != action.expected)
             return false;
         store.revision = Revision(std::max(store.revision, current).value() + 1);
-        store.record = {action.record, store.revision};
+        store.record = {action.record, store.revision, m_hasReturned};
         return true;
     }
     void carryOut(HostId, Host &host, const usage_step::WriteRecord &action)
@@ -298,6 +321,7 @@
     std::map<HostId, StoreState> m_frozenCopies;
     std::vector<LateCall> m_late;
     std::vector<LateWrite> m_lateWrites;
+    bool m_hasReturned = false;
 };
 
 } // namespace
@@ -622,6 +646,7 @@
     {
         const auto runs = testing::numberFromEnvironment("ENDIVEDOCK_USAGE_RUNS", 150);
         std::size_t reported = 0;
+        int returns = 0;
         for (unsigned seed = 1; seed <= runs; ++seed) {
             std::mt19937 random(seed);
             Fleet fleet(5, seed);
@@ -630,15 +655,22 @@
             fleet.lateWrites = seed % 40;
             for (auto &[id, host] : fleet.hosts)
                 host.clockOffset = Milliseconds(static_cast<int>(random() % 2001) - 1000);
+            StoreState copy;
             for (int round = 0; round < 25; ++round) {
+                if (random() % 10 == 0)
+                    copy = fleet.store;
+                if (random() % 10 == 0)
+                    fleet.returnStoreTo(copy);
                 disrupt(fleet, random);
                 fleet.run(Milliseconds(200 + random() % 5000));
             }
             CPPUNIT_ASSERT_MESSAGE("A, B, A with seed " + std::to_string(seed),
                                    !fleet.receiver.hasTurns());
             reported += fleet.receiver.counts.size();
+            returns += fleet.returns;
         }
         CPPUNIT_ASSERT(reported > 3 * runs);
+        CPPUNIT_ASSERT(returns > 0);
     }
 
 private:
