usage: no overflow for a peer's window, no temporary across co_await

Cause: the window of a peer's message, near 2^63, overflowed in the check for plausibility; a braced temporary stood in a co_await call, which g++ 12 miscompiles (harmless for an empty type). Change: the bound is computed from the current window; the step is a variable. Conclusion: undefined behaviour removed; nothing else changes.

--- a/include/endivedock/edge/usage_agent.h
+++ b/include/endivedock/edge/usage_agent.h
@@ -218,7 +218,7 @@
         return;
     }
     const UsageWindow current = windowAt(timeOfDay(), m_settings.windowLength);
-    const bool isPlausible = after(message.window, keptWindows(m_settings)) >= current &&
+    const bool isPlausible = message.window >= after(current, -keptWindows(m_settings)) &&
                              message.window <= after(current, 2);
     if (isPlausible)
         m_tally.merge(message);
@@ -299,8 +299,10 @@
         co_return;
     }
     m_duty.recordClaimFailed(BootClock().now());
-    if (hasLease)
-        co_await carryOut(usage_step::EndLease{});
+    if (hasLease) {
+        const usage_step::EndLease step;
+        co_await carryOut(step);
+    }
 }
 
 template <EdgePlatform P>
