--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -652,14 +652,14 @@
             Fleet fleet(5, seed);
             fleet.lostAnswers = random() % 30;
             fleet.lateCalls = random() % 30;
-            fleet.lateWrites = seed % 40;
+            fleet.lateWrites = seed % 2 == 0 ? 0 : seed % 40;
             for (auto &[id, host] : fleet.hosts)
                 host.clockOffset = Milliseconds(static_cast<int>(random() % 2001) - 1000);
             StoreState copy;
             for (int round = 0; round < 25; ++round) {
-                if (random() % 10 == 0)
+                if (random() % 4 == 0)
                     copy = fleet.store;
-                if (random() % 10 == 0)
+                if (random() % 4 == 0)
                     fleet.returnStoreTo(copy);
                 disrupt(fleet, random);
                 fleet.run(Milliseconds(200 + random() % 5000));
