--- a/include/endivedock/edge/usage_agent.h
+++ b/include/endivedock/edge/usage_agent.h
@@ -65,6 +65,8 @@
     /** A host that starts to collect asks this often for all counts, as messages may be lost. */
     static constexpr int countRequests = 2;
     static constexpr Milliseconds reportTimeout{1000};
+    /** Delay after an error that the step itself did not handle. */
+    static constexpr Milliseconds failedStepDelay{500};
 
     UsageAgent(asio::any_io_executor executor, const Context &context, Incarnation incarnation)
         : m_settings(*context.settings.usage)
@@ -143,12 +145,13 @@
 template <EdgePlatform P>
 std::optional<StoredUsageRecord> UsageAgent<P>::parse(const StoreEntry &entry) const
 {
+    const bool isRestored = eraOf(entry.modRevision) > StoreEra(0);
     try {
-        return StoredUsageRecord{decodeUsageRecord(entry.value), entry.modRevision};
+        return StoredUsageRecord{decodeUsageRecord(entry.value), entry.modRevision, isRestored};
     } catch (const UsageRecordError &error) {
         m_log.warning("Usage record is malformed; starting with an empty one",
                       {field("error", error.what())});
-        return StoredUsageRecord{UsageRecord{}, entry.modRevision};
+        return StoredUsageRecord{UsageRecord{}, entry.modRevision, isRestored};
     }
 }
 
@@ -220,7 +223,7 @@
         return;
     }
     const UsageWindow current = windowAt(timeOfDay(), m_settings.windowLength);
-    const bool isPlausible = after(message.window, keptWindows(m_settings)) >= current &&
+    const bool isPlausible = message.window >= after(current, -keptWindows(m_settings)) &&
                              message.window <= after(current, 2);
     if (isPlausible)
         m_tally.merge(message);
@@ -254,7 +257,16 @@
     while (true) {
         const bool wasHolder = m_duty.isHolder();
         UsageStep step = m_duty.next(view());
-        co_await std::visit([this](auto &next) { return this->carryOut(std::move(next)); }, step);
+        bool hasFailed = false;
+        try {
+            co_await std::visit([this](auto &next) { return this->carryOut(std::move(next)); },
+                                step);
+        } catch (const Error &error) {
+            hasFailed = true;
+            m_log.warning("Step of the usage duty failed", {field("error", error.what())});
+        }
+        if (hasFailed)
+            co_await sleepFor(failedStepDelay);
         if (wasHolder && !m_duty.isHolder())
             m_log.info("Usage duty ended", {field("token", m_duty.token())});
         logUnreported();
@@ -301,8 +313,10 @@
         co_return;
     }
     m_duty.recordClaimFailed(bootTime());
-    if (hasLease)
-        co_await carryOut(usage_step::EndLease{});
+    if (hasLease) {
+        const usage_step::EndLease step;
+        co_await carryOut(step);
+    }
 }
 
 template <EdgePlatform P>
--- a/src/usage/usage_duty.cpp
+++ b/src/usage/usage_duty.cpp
@@ -33,6 +33,8 @@
         return "counts lost";
     case UnreportedCause::RecordedTooLate:
         return "no holder recorded it in time";
+    case UnreportedCause::MayBeReported:
+        return "it may have been reported before";
     case UnreportedCause::NotConfirmed:
         break;
     }
@@ -91,10 +93,9 @@
     if (view.now < *m_vacantSince + delay || view.now < m_standAgainAt)
         return wait;
     // Also a host that has started again since its last term, and no longer knows of it.
-    const bool wasHolderBefore = view.record && view.record->record.holder != m_self &&
-                                 view.record->record.previousHolder == m_self;
+    const bool wasHolderBefore = m_newest.holder != m_self && m_newest.previousHolder == m_self;
     if (wasHolderBefore &&
-        view.timeOfDay < view.record->record.termStartedAt + leasesBetweenTerms * m_settings.lease)
+        view.timeOfDay < m_newest.termStartedAt + leasesBetweenTerms * m_settings.lease)
         return wait;
     return usage_step::Claim{};
 }
@@ -109,6 +110,7 @@
     m_nextWriteAt = {};
     m_recordRevision = Revision(0);
     m_record = {};
+    m_isRestored = false;
     m_vacantSince.reset();
 }
 
@@ -188,6 +190,7 @@
     if (view.record && view.record->revision > m_recordRevision) {
         m_record = view.record->record;
         m_recordRevision = view.record->revision;
+        m_isRestored = view.record->isRestored;
     }
     observe(m_record);
     // The store may have come back from an older copy.
@@ -195,8 +198,12 @@
     m_isFirstTerm = record.token == FencingToken(0);
     if (m_isFirstTerm) {
         const UsageWindow current = windowAt(view.timeOfDay, m_settings.windowLength);
+        // Windows that ended before this host started may have been reported by a holder whose
+        // record the store has lost.
+        const UsageWindow oldest = std::max(windowAt(m_startedAt, m_settings.windowLength),
+                                            view.tally.firstWindow().value_or(current));
         record.holder = m_self;
-        record.through = after(std::min(current, view.tally.firstWindow().value_or(current)), -1);
+        record.through = after(std::min(current, oldest), -1);
     }
     if (record.holder != m_self || m_isFirstTerm)
         record.previousHolder = record.holder;
@@ -234,6 +241,8 @@
         isChanged = true;
         if (view.timeOfDay > endOf(window) + m_settings.lateAfter)
             m_givenUp.push_back({window, UnreportedCause::RecordedTooLate});
+        else if (m_isRestored && endOf(window) <= m_startedAt)
+            m_givenUp.push_back({window, UnreportedCause::MayBeReported});
         else if (!isCovered(window, view))
             m_givenUp.push_back({window, UnreportedCause::CountsLost});
         else
@@ -280,6 +289,7 @@
     m_writing.reset();
     m_record = stored ? std::move(stored->record) : UsageRecord{};
     m_recordRevision = stored ? stored->revision : Revision(0);
+    m_isRestored = stored && stored->isRestored;
     if (!stored) // This host's copy of the store has yet to show that the record is gone.
         m_nextWriteAt = now + storeRetryDelay;
 }
--- a/tests/usage/usage_duty_test.cpp
+++ b/tests/usage/usage_duty_test.cpp
@@ -115,6 +115,11 @@
             std::erase_if(m_late, [&](const LateCall &call) { return call.at <= now; });
             for (const auto &call : due)
                 receiver.accept(call.host, call.report, now);
+            std::erase_if(m_lateWrites, [&](const LateWrite &write) {
+                if (write.at <= now)
+                    writeIfUnchanged(write.step);
+                return write.at <= now;
+            });
             if (hasTraffic)
                 count();
             // The copies of the store that hosts have are a little older than the store.
@@ -128,6 +133,28 @@
         }
     }
 
+    /** Lets the store come back from a copy, without leases, if all hosts know its last state. */
+    void returnStoreTo(const StoreState &copy)
+    {
+        const bool isFollowed = std::all_of(hosts.begin(), hosts.end(), [&](const auto &entry) {
+            const Host &host = entry.second;
+            return host.isAlive && host.reachesStore && now >= host.pausedUntil;
+        });
+        if (!isFollowed || isStoreAway || !m_lateWrites.empty())
+            return;
+        const Revision before = store.revision;
+        run(Milliseconds(600));
+        if (store.revision != before || !m_lateWrites.empty())
+            return;
+        m_hasReturned = true;
+        store = copy;
+        store.revision = Revision(before.value() + 1);
+        store.holder.reset();
+        if (store.record)
+            store.record = {store.record->record, store.revision, true};
+        ++returns;
+    }
+
     Milliseconds timeOfDay() const { return startOfDay + toMilliseconds(now.time_since_epoch()); }
     HostId holder() const
     {
@@ -153,8 +180,11 @@
     /** Shares of calls, in percent, whose answer is lost, and that are carried out late. */
     unsigned lostAnswers = 0;
     unsigned lateCalls = 0;
+    /** Share of writes of the record, in percent, that are carried out late if nothing changed. */
+    unsigned lateWrites = 0;
     bool isThrottling = false;
     std::map<UnreportedCause, int> unreported;
+    int returns = 0;
     /** When each host last called the receiver. */
     std::map<HostId, TimePoint> lastCalls;
 
@@ -166,6 +196,12 @@
         UsageReport report;
     };
 
+    struct LateWrite
+    {
+        TimePoint at;
+        usage_step::WriteRecord step;
+    };
+
     /** Each host counts a request, and all hosts learn of it. */
     void count()
     {
@@ -237,14 +273,23 @@
         if (canReachStore(host) && store.holder == id)
             store.holder.reset();
     }
-    void carryOut(HostId, Host &host, const usage_step::WriteRecord &action)
+    bool writeIfUnchanged(const usage_step::WriteRecord &action)
     {
         const Revision current = store.record ? store.record->revision : Revision(0);
-        const bool isWritten = canReachStore(host) && current == action.expected;
-        if (isWritten) {
-            store.revision = Revision(std::max(store.revision, current).value() + 1);
-            store.record = {action.record, store.revision};
+        if (current != action.expected)
+            return false;
+        store.revision = Revision(std::max(store.revision, current).value() + 1);
+        store.record = {action.record, store.revision, m_hasReturned};
+        return true;
+    }
+    void carryOut(HostId, Host &host, const usage_step::WriteRecord &action)
+    {
+        if (lateWrites > 0 && canReachStore(host) && drawPercent() < lateWrites) {
+            m_lateWrites.push_back({now + Milliseconds(m_random() % 5000), action});
+            host.duty->recordWriteUnknown(now);
+            return;
         }
+        const bool isWritten = canReachStore(host) && writeIfUnchanged(action);
         if (!canReachStore(host) || drawPercent() < lostAnswers)
             host.duty->recordWriteUnknown(now);
         else if (isWritten)
@@ -275,6 +320,8 @@
     std::vector<StoreState> m_copies;
     std::map<HostId, StoreState> m_frozenCopies;
     std::vector<LateCall> m_late;
+    std::vector<LateWrite> m_lateWrites;
+    bool m_hasReturned = false;
 };
 
 } // namespace
@@ -296,6 +343,9 @@
     CPPUNIT_TEST(recordedCountsStayWhenOthersArrive);
     CPPUNIT_TEST(countsThatAllHostsLostAreNotInvented);
     CPPUNIT_TEST(aClockASecondOffMissesNoWindow);
+    CPPUNIT_TEST(aNewHostWithoutARecordRepeatsNoWindow);
+    CPPUNIT_TEST(aNewHostWithAnOlderRecordRepeatsNoWindow);
+    CPPUNIT_TEST(aFormerHolderWaitsAlsoWhenTheStoreGoesBack);
     CPPUNIT_TEST(tokensRiseWhenTheStoreGoesBack);
     CPPUNIT_TEST(randomDisruptionsBreakNoRule);
     CPPUNIT_TEST_SUITE_END();
@@ -499,6 +549,77 @@
         }
     }
 
+    void aNewHostWithoutARecordRepeatsNoWindow()
+    {
+        // The store has come back from a copy without the record; hosts that run know counts of
+        // windows that another one may have reported before this host started.
+        const UsageWindow started = windowAt(startOfDay, settings.windowLength);
+        UsageDuty duty(HostId(1), settings, startOfDay, Milliseconds(0));
+        UsageTally tally;
+        for (std::int64_t window = -2; window <= 0; ++window)
+            tally.merge({HostId(2), Incarnation(1), after(started, window), {{team, 7}}});
+        const Milliseconds afterWindow = startOfDay + settings.windowLength + Milliseconds(2500);
+        duty.recordClaimed(TimePoint{});
+        const UsageView view{TimePoint{}, afterWindow, HostId(1), nullptr, 0, true, tally};
+        const UsageStep step = duty.next(view);
+        const auto *write = std::get_if<usage_step::WriteRecord>(&step);
+        CPPUNIT_ASSERT(write != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), write->record.unconfirmed.size());
+        CPPUNIT_ASSERT(write->record.unconfirmed.contains(started));
+    }
+
+    void aNewHostWithAnOlderRecordRepeatsNoWindow()
+    {
+        const UsageWindow started = windowAt(startOfDay, settings.windowLength);
+        StoredUsageRecord older{{}, Revision(9), true};
+        older.record.token = FencingToken(5);
+        older.record.through = after(started, -2);
+        UsageTally tally; // Contains counts of hosts that started earlier.
+        for (std::int64_t window = -1; window <= 0; ++window)
+            tally.merge({HostId(2), Incarnation(1), after(started, window), {{team, 7}}});
+        const Milliseconds afterWindow = startOfDay + settings.windowLength + Milliseconds(2500);
+        for (const bool isInView : {true, false}) {
+            UsageDuty duty(HostId(1), settings, startOfDay, Milliseconds(0));
+            duty.recordClaimed(TimePoint{});
+            const StoredUsageRecord *record = isInView ? &older : nullptr;
+            const UsageView view{TimePoint{}, afterWindow, HostId(1), record, 0, true, tally};
+            if (!isInView) {
+                duty.next(view);
+                duty.recordConflict(older, TimePoint{});
+            }
+            const UsageStep step = duty.next(view);
+            const auto *write = std::get_if<usage_step::WriteRecord>(&step);
+            CPPUNIT_ASSERT(write != nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), write->record.unconfirmed.size());
+            CPPUNIT_ASSERT(write->record.unconfirmed.contains(started));
+            duty.recordWritten(Revision(10));
+            const auto unreported = duty.takeUnreported();
+            CPPUNIT_ASSERT(unreported.size() == 1 &&
+                           unreported[0].cause == UnreportedCause::MayBeReported);
+        }
+    }
+
+    void aFormerHolderWaitsAlsoWhenTheStoreGoesBack()
+    {
+        // Started again since its term; the store then forgets the term of the host after it.
+        UsageDuty duty(HostId(2), settings, startOfDay, Milliseconds(0));
+        UsageRecord own;
+        own.token = FencingToken(5);
+        own.holder = HostId(2);
+        UsageRecord others{FencingToken(9), HostId(1), HostId(2), startOfDay, {}, {}};
+        const StoredUsageRecord newest{others, Revision(9)};
+        const StoredUsageRecord older{own, Revision(10), true};
+        const UsageTally tally;
+        duty.next({TimePoint{}, startOfDay, HostId(1), &newest, 0, true, tally});
+        const auto stepAt = [&](Milliseconds time) {
+            return duty.next(
+                    {TimePoint{} + time, startOfDay + time, std::nullopt, &older, 0, true, tally});
+        };
+        for (Milliseconds time(0); time < 4 * settings.lease; time += Milliseconds(100))
+            CPPUNIT_ASSERT(!std::holds_alternative<usage_step::Claim>(stepAt(time)));
+        CPPUNIT_ASSERT(std::holds_alternative<usage_step::Claim>(stepAt(4 * settings.lease)));
+    }
+
     void tokensRiseWhenTheStoreGoesBack()
     {
         Fleet fleet(3);
@@ -525,22 +646,31 @@
     {
         const auto runs = testing::numberFromEnvironment("ENDIVEDOCK_USAGE_RUNS", 150);
         std::size_t reported = 0;
+        int returns = 0;
         for (unsigned seed = 1; seed <= runs; ++seed) {
             std::mt19937 random(seed);
             Fleet fleet(5, seed);
             fleet.lostAnswers = random() % 30;
             fleet.lateCalls = random() % 30;
+            fleet.lateWrites = seed % 2 == 0 ? 0 : seed % 40;
             for (auto &[id, host] : fleet.hosts)
                 host.clockOffset = Milliseconds(static_cast<int>(random() % 2001) - 1000);
+            StoreState copy;
             for (int round = 0; round < 25; ++round) {
+                if (random() % 4 == 0)
+                    copy = fleet.store;
+                if (random() % 4 == 0)
+                    fleet.returnStoreTo(copy);
                 disrupt(fleet, random);
                 fleet.run(Milliseconds(200 + random() % 5000));
             }
             CPPUNIT_ASSERT_MESSAGE("A, B, A with seed " + std::to_string(seed),
                                    !fleet.receiver.hasTurns());
             reported += fleet.receiver.counts.size();
+            returns += fleet.returns;
         }
         CPPUNIT_ASSERT(reported > 3 * runs);
+        CPPUNIT_ASSERT(returns > 0);
     }
 
 private:
