--- a/tests/gateway/short_memory_test.cpp
+++ b/tests/gateway/short_memory_test.cpp
@@ -75,6 +75,7 @@
         const std::string &refusal = refusals.front();
         for (const char *part : {"HTTP/1.1 503", "memory-short", "Retry-After", "Request-Not-Run"})
             CPPUNIT_ASSERT_MESSAGE(refusal, refusal.find(part) != std::string::npos);
+        stalled.push_back(std::move(other)); // An open connection lasts for its idle timeout.
         end(stalled);
     }
 
