--- a/src/admission/admission_limits.cpp
+++ b/src/admission/admission_limits.cpp
@@ -19,8 +19,7 @@
 constexpr std::uint64_t connectionBytes = 16 * 1024;
 /** Descriptors that are left to files: the platform reserves them. At most half of all. */
 constexpr int fileDescriptors = 200;
-/** Sockets for the store, the listening addresses and the event loop, of which 18 were seen open.
- */
+/** Sockets for the store, the listening addresses and the event loop. */
 constexpr int ownSockets = 32;
 /** Part of the sockets for other hosts and probes; of the rest, the part for callers. */
 constexpr int fleetSixteenths = 1;
--- a/src/edge/registry_eras.cpp
+++ b/src/edge/registry_eras.cpp
@@ -116,6 +116,8 @@
 std::vector<ConditionalPut> Registry::lostEntries(std::size_t maxCount) const
 {
     std::vector<ConditionalPut> result;
+    if (m_eraStart == Revision(0))
+        return result; // Nothing was lost, and no entry is looked at.
     for (const auto &[key, item] : m_items) {
         if (result.size() == maxCount)
             break;
