review: the scripts end their hosts when they are ended themselves

Cause: a script that is ended by SIGTERM left its entry hosts running. Change: standins_2.py leaves by its usual way then.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -493,6 +493,7 @@
     if not os.path.exists(EDGE):
         print("endivedock-edge has not been built")
         sys.exit(2)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # So that the hosts are ended as well.
     try:
         has_held = asyncio.run(main())
     except Exception as error:  # A failure of the script itself shows nothing about the rule.
