net: a reader of responses for all clients

Change: ResponseReader reads heads and bodies; TargetConnection, the gateway's client, is the first to use it. No behaviour changes.

--- a/src/gateway/target_connection.cpp
+++ b/src/gateway/target_connection.cpp
@@ -1,5 +1,7 @@
 #include "endivedock/gateway/target_connection.h"
 
+#include "endivedock/net/response_reader.h"
+
 #include "http_fields.h"
 
 #include <algorithm>
@@ -15,12 +17,8 @@
 
 namespace {
 
-constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
-constexpr std::size_t readBufferBytes = 128 * 1024;
-
 using Request = http::request<http::buffer_body>;
 using RequestSerializer = http::request_serializer<http::buffer_body>;
-using ResponseParser = http::response_parser<http::buffer_body>;
 
 /** @return the value of "timeout=N", N in seconds, in a Keep-Alive field (RFC 2068) */
 std::optional<Milliseconds> parseKeepAlive(beast::string_view value)
@@ -49,7 +47,7 @@
 public:
     explicit Impl(const asio::any_io_executor &executor)
         : m_stream(executor)
-        , m_buffer(readBufferBytes)
+        , m_reader(m_stream)
     {
     }
 
@@ -66,21 +64,7 @@
         m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
 
-    void setDeadline(TimePoint deadline)
-    {
-        m_deadline = deadline;
-        m_stream.expires_at(deadline);
-    }
-
-    /**
-     * The timer of the stream only ends an operation that has to wait, which does not happen while
-     * a target sends without end.
-     */
-    void throwIfOverdue() const
-    {
-        if (SteadyClock().now() >= m_deadline)
-            throw targetError(beast::error::timeout);
-    }
+    void setDeadline(TimePoint deadline) { m_reader.setDeadline(deadline); }
 
     Task<> sendHead(const RequestHead &head)
     {
@@ -101,11 +85,7 @@
         m_request->body().data = nullptr;
         m_request->body().more = true;
         m_serializer.emplace(*m_request);
-        boost::system::error_code error;
-        co_await http::async_write_header(m_stream, *m_serializer,
-                                          asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            throw targetError(error);
+        co_await write(true);
     }
 
     Task<> sendBody(std::span<const char> piece)
@@ -113,7 +93,7 @@
         m_request->body().data = const_cast<char *>(piece.data());
         m_request->body().size = piece.size();
         m_request->body().more = true;
-        co_await write();
+        co_await write(false);
     }
 
     Task<> endRequest()
@@ -122,7 +102,7 @@
         m_request->body().size = 0;
         m_request->body().more = false;
         if (m_hasBody)
-            co_await write();
+            co_await write(false);
         m_isRequestSent = true;
     }
 
@@ -147,52 +127,43 @@
         }
     }
 
-    Task<> write()
+    Task<> write(bool headerOnly)
     {
         boost::system::error_code error;
-        co_await http::async_write(m_stream, *m_serializer,
-                                   asio::redirect_error(asio::use_awaitable, error));
+        if (headerOnly)
+            co_await http::async_write_header(m_stream, *m_serializer,
+                                              asio::redirect_error(asio::use_awaitable, error));
+        else
+            co_await http::async_write(m_stream, *m_serializer,
+                                       asio::redirect_error(asio::use_awaitable, error));
         // need_buffer reports that the present piece has been written.
-        if (error && error != http::error::need_buffer)
+        if (error == http::error::need_buffer)
+            error = {};
+        if (error)
             throw targetError(error);
     }
 
     Task<ResponseHead> readHead()
     {
-        m_parser.emplace();
         m_isReuseDecided = false;
-        m_parser->header_limit(maxHeaderBytes);
-        m_parser->body_limit(boost::none);
-        m_parser->skip(m_isHeadRequest);
-        boost::system::error_code error;
-        do {
-            throwIfOverdue();
-            co_await http::async_read_header(m_stream, m_buffer, *m_parser,
-                                             asio::redirect_error(asio::use_awaitable, error));
-            if (error)
-                throw targetError(error);
-            // A status below 200 belongs to an interim response.
-            if (m_parser->get().result_int() >= 200)
-                break;
-            m_parser.emplace();
-            m_parser->header_limit(maxHeaderBytes);
-            m_parser->body_limit(boost::none);
-            m_parser->skip(m_isHeadRequest);
-        } while (true);
+        try {
+            co_await m_reader.readHead(m_isHeadRequest);
+        } catch (const boost::system::system_error &error) {
+            throw targetError(error.code());
+        }
         co_return makeHead();
     }
 
     ResponseHead makeHead()
     {
-        const auto &message = m_parser->get();
+        const auto &received = m_reader.head();
         ResponseHead head;
-        head.status = message.result_int();
-        head.fields = endToEndFields(message.base());
-        head.framing.chunked = m_parser->chunked();
-        if (const auto length = m_parser->content_length())
-            head.framing.length = *length;
+        head.status = received.result_int();
+        head.fields = endToEndFields(received);
+        head.framing.chunked = m_reader.isChunked();
+        head.framing.length = m_reader.contentLength();
         head.hasNoBody = m_isHeadRequest || head.status == 204 || head.status == 304;
-        m_keepAliveTimeout = parseKeepAlive(message[http::field::keep_alive]);
+        m_keepAliveTimeout = parseKeepAlive(received[http::field::keep_alive]);
         updateReusable();
         return head;
     }
@@ -200,19 +171,10 @@
     Task<std::size_t> readBody(std::span<char> into)
     {
         std::size_t bytesRead = 0;
-        while (bytesRead == 0 && !m_parser->is_done()) {
-            throwIfOverdue();
-            auto &body = m_parser->get().body();
-            body.data = into.data();
-            body.size = into.size();
-            body.more = true;
-            boost::system::error_code error;
-            co_await http::async_read_some(m_stream, m_buffer, *m_parser,
-                                           asio::redirect_error(asio::use_awaitable, error));
-            // need_buffer reports that the present piece is full.
-            if (error && error != http::error::need_buffer)
-                throw targetError(error);
-            bytesRead = into.size() - m_parser->get().body().size;
+        try {
+            bytesRead = co_await m_reader.readBody(into);
+        } catch (const boost::system::system_error &error) {
+            throw targetError(error.code());
         }
         updateReusable();
         co_return bytesRead;
@@ -220,35 +182,24 @@
 
     void updateReusable()
     {
-        if (!m_parser->is_done() || m_isReuseDecided)
+        if (!m_reader.isComplete() || m_isReuseDecided)
             return;
         m_isReuseDecided = true;
-        // Bytes after the response belong to no request, so the connection cannot be trusted.
-        m_isReusable = m_isRequestSent && m_parser->keep_alive() && m_buffer.size() == 0;
+        m_isReusable = m_isRequestSent && m_reader.mayReadNext();
     }
 
-    bool isResponseComplete() const { return m_parser && m_parser->is_done(); }
+    bool isResponseComplete() const { return m_reader.isComplete(); }
     std::optional<Milliseconds> keepAliveTimeout() const { return m_keepAliveTimeout; }
     bool isReusable() const { return m_isReusable; }
 
-    bool isStale()
-    {
-        boost::system::error_code error;
-        auto &socket = m_stream.socket();
-        socket.non_blocking(true, error);
-        char byte = 0;
-        socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-        return error != asio::error::would_block;
-    }
-
+    bool isStale() { return m_reader.isStale(); }
     void close() { m_stream.close(); }
 
 private:
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    ResponseReader m_reader;
     std::optional<Request> m_request;
     std::optional<RequestSerializer> m_serializer;
-    std::optional<ResponseParser> m_parser;
     bool m_isHeadRequest = false;
     bool m_hasBody = false;
     bool m_isRequestSent = false;
@@ -256,7 +207,6 @@
     /** m_isReusable has been set for the present response. */
     bool m_isReuseDecided = false;
     std::optional<Milliseconds> m_keepAliveTimeout;
-    TimePoint m_deadline = TimePoint::max();
 };
 
 TargetConnection::TargetConnection(const asio::any_io_executor &executor)
--- /dev/null
+++ b/src/net/response_reader.cpp
@@ -0,0 +1,109 @@
+#include "endivedock/net/response_reader.h"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace endivedock {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using boost::system::system_error;
+
+namespace {
+
+/** A status below this belongs to an interim response. */
+constexpr unsigned firstFinalStatus = 200;
+constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+/** Bounds what is held of a head, a chunk extension or a trailer. */
+constexpr std::size_t maxBufferBytes = 128 * 1024;
+
+} // namespace
+
+ResponseReader::ResponseReader(beast::tcp_stream &stream)
+    : m_stream(stream)
+    , m_buffer(maxBufferBytes)
+{
+}
+
+void ResponseReader::setDeadline(TimePoint deadline)
+{
+    m_deadline = deadline;
+    m_stream.expires_at(deadline);
+}
+
+void ResponseReader::throwIfOverdue() const
+{
+    // The timer of the stream only ends an operation that has to wait, which does not happen while
+    // a peer sends without end.
+    if (SteadyClock().now() >= m_deadline)
+        throw system_error(beast::error::timeout);
+}
+
+Task<> ResponseReader::readHead(bool isHeadRequest)
+{
+    m_isComplete = false;
+    do {
+        throwIfOverdue();
+        m_parser.emplace();
+        m_parser->header_limit(maxHeaderBytes);
+        m_parser->body_limit(boost::none);
+        m_parser->skip(isHeadRequest);
+        co_await parseHead();
+    } while (head().result_int() < firstFinalStatus);
+    m_isComplete = m_parser->is_done();
+}
+
+Task<> ResponseReader::parseHead()
+{
+    error_code error;
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        throw system_error(error);
+}
+
+Task<std::size_t> ResponseReader::readBody(std::span<char> into)
+{
+    std::size_t bytesRead = 0;
+    while (bytesRead == 0 && !m_isComplete) {
+        throwIfOverdue();
+        auto &body = m_parser->get().body();
+        body.data = into.data();
+        body.size = into.size();
+        body.more = true;
+        error_code error;
+        co_await http::async_read_some(m_stream, m_buffer, *m_parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        // need_buffer reports that the present piece is full.
+        if (error && error != http::error::need_buffer)
+            throw system_error(error);
+        bytesRead = into.size() - body.size;
+        m_isComplete = m_parser->is_done();
+    }
+    co_return bytesRead;
+}
+
+std::optional<std::uint64_t> ResponseReader::contentLength() const
+{
+    const auto length = m_parser->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+bool ResponseReader::mayReadNext() const
+{
+    // Bytes after the response belong to no request, so the connection cannot be trusted.
+    return m_isComplete && m_parser->keep_alive() && m_buffer.size() == 0;
+}
+
+bool ResponseReader::isStale()
+{
+    error_code error;
+    auto &socket = m_stream.socket();
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+} // namespace endivedock
