gateway: a response that a reset cut off during an upload is not complete

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. A refusal that was cut off in this way counted as proof that the request was not run. Cause: the system reports a reset to one operation on the socket. The write of the upload got it, and its error was dropped, because the target may have responded early. The next read then reported the end of the stream, which ends a body without a length. Change: writes tell the ResponseReader how they ended. At the end of the stream it closes the connection, waits for a write in progress, and refuses the body if a write failed before the target had closed its side. A reset after that close is reported as a broken pipe, so an early response of a target that closes and does not read on is still served.

--- a/include/endivedock/net.h
+++ b/include/endivedock/net.h
@@ -8,5 +8,6 @@
 #include "endivedock/net/http_client.h"
 #include "endivedock/net/http_server.h"
 #include "endivedock/net/one_shot_channel.h"
+#include "endivedock/net/response_rules.h"
 #include "endivedock/net/socket_deadline.h"
 #include "endivedock/net/task.h"
--- a/include/endivedock/net/response_reader.h
+++ b/include/endivedock/net/response_reader.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "endivedock/net/one_shot_channel.h"
+#include "endivedock/net/response_rules.h"
 #include "endivedock/net/task.h"
 
 #include <optional>
@@ -16,6 +18,10 @@
  * Reads the responses on an HTTP/1.1 connection and decides which heads are valid and which bodies
  * are complete. All clients read through this class, so that none believes a response that another
  * one refuses.
+ *
+ * One task reads while another one may write. A client that reads on after a failed write encloses
+ * its writes in beginWrite() and endWrite(), because the write may have taken the only evidence
+ * that the connection was lost.
  */
 class ResponseReader
 {
@@ -26,6 +32,10 @@
     /** Makes reads that are not complete by @p deadline fail with a timeout. */
     void setDeadline(TimePoint deadline);
 
+    void beginWrite() { m_isWriting = true; }
+    /** @param error  how the write ended */
+    void endWrite(const boost::system::error_code &error);
+
     /**
      * Reads the head of the next final response; interim responses are skipped.
      *
@@ -62,12 +72,18 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     Task<> parseHead();
+    /** Decides whether the end of the stream is the end of the body. */
+    Task<> confirmClose();
     void throwIfOverdue() const;
 
     boost::beast::tcp_stream &m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     bool m_isComplete = false;
+    bool m_isWriting = false;
+    /** The first error of a write. */
+    boost::system::error_code m_writeError;
+    OneShotChannel<bool> m_writeEnded;
     TimePoint m_deadline = TimePoint::max();
 };
 
--- /dev/null
+++ b/include/endivedock/net/response_rules.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <boost/system/error_code.hpp>
+
+namespace endivedock {
+
+/**
+ * A body without a length or chunks ends where the peer closes its sending side. After a reset, the
+ * system reports the error to one write or read only, and the end of the stream to later reads. So
+ * a write may have taken the only evidence that the body was cut off.
+ *
+ * @param writeError  the first error of a write on the connection
+ * @return whether the connection was lost before the peer had closed its sending side. A reset
+ *         after that is reported as a broken pipe, and only tells that the peer does not read on.
+ */
+bool isCutOff(const boost::system::error_code &writeError);
+
+} // namespace endivedock
--- a/src/gateway/target_connection.cpp
+++ b/src/gateway/target_connection.cpp
@@ -123,13 +123,14 @@
             co_await self->sendBody(body);
             co_await self->endRequest();
         } catch (const TargetError &) {
-            // The task that reads the response sees the failure, or has the response already.
+            // The reader was told of the failure and decides what it means for the response.
         }
     }
 
     Task<> write(bool headerOnly)
     {
         boost::system::error_code error;
+        m_reader.beginWrite();
         if (headerOnly)
             co_await http::async_write_header(m_stream, *m_serializer,
                                               asio::redirect_error(asio::use_awaitable, error));
@@ -139,6 +140,7 @@
         // need_buffer reports that the present piece has been written.
         if (error == http::error::need_buffer)
             error = {};
+        m_reader.endWrite(error);
         if (error)
             throw targetError(error);
     }
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -23,6 +23,7 @@
 ResponseReader::ResponseReader(beast::tcp_stream &stream)
     : m_stream(stream)
     , m_buffer(maxBufferBytes)
+    , m_writeEnded(stream.get_executor())
 {
 }
 
@@ -40,6 +41,14 @@
         throw system_error(beast::error::timeout);
 }
 
+void ResponseReader::endWrite(const error_code &error)
+{
+    m_isWriting = false;
+    if (!m_writeError)
+        m_writeError = error;
+    m_writeEnded.deliver(true);
+}
+
 Task<> ResponseReader::readHead(bool isHeadRequest)
 {
     m_isComplete = false;
@@ -79,11 +88,25 @@
         if (error && error != http::error::need_buffer)
             throw system_error(error);
         bytesRead = into.size() - body.size;
+        if (m_parser->is_done() && m_parser->need_eof())
+            co_await confirmClose();
         m_isComplete = m_parser->is_done();
     }
     co_return bytesRead;
 }
 
+Task<> ResponseReader::confirmClose()
+{
+    if (m_isWriting) {
+        // The response needs no more of the request. A write that has met a reset reports it now.
+        m_stream.close();
+        while (m_isWriting)
+            co_await m_writeEnded.wait(TimePoint::max());
+    }
+    if (isCutOff(m_writeError))
+        throw system_error(http::error::partial_message);
+}
+
 std::optional<std::uint64_t> ResponseReader::contentLength() const
 {
     const auto length = m_parser->content_length();
--- a/tests/gateway/broken_responses_test.cpp
+++ b/tests/gateway/broken_responses_test.cpp
@@ -179,12 +179,40 @@
 class BrokenResponsesTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(BrokenResponsesTest);
+    CPPUNIT_TEST(responseCutOffByAResetDuringAnUploadIsNotComplete);
+    CPPUNIT_TEST(responseCutOffByAResetDuringABufferedUploadIsNotComplete);
     CPPUNIT_TEST(earlyResponseThatItsCloseEndsIsComplete);
     CPPUNIT_TEST(invalidFieldNameIsRefused);
     CPPUNIT_TEST(responsesOfSoundTargetsAreServed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /**
+     * The task that wrote the upload took the error of the reset from the socket and dropped it, so
+     * the reading task saw an ordinary end of the stream.
+     */
+    void responseCutOffByAResetDuringAnUploadIsNotComplete()
+    {
+        const Exchange result =
+                exchange({{"HTTP/1.1 200 OK\r\n\r\n", "broken"}, ConnectionEnd::Reset},
+                         uploadRequest(longUploadBytes));
+        checkRefused("reset", result);
+        CPPUNIT_ASSERT_EQUAL(1, result.requestCount);
+        // A refusal that is cut off does not prove that nothing ran.
+        checkRefused("refusal",
+                     exchange({{"HTTP/1.1 503 X\r\nRequest-Not-Run: true\r\n\r\n", "broken"},
+                               ConnectionEnd::Reset},
+                              uploadRequest(longUploadBytes)));
+    }
+
+    /** The same, for an upload that another task than that of the response sends. */
+    void responseCutOffByAResetDuringABufferedUploadIsNotComplete()
+    {
+        const ConnectionOutcome outcome = exchangeWithBodyInBackground(
+                {{"HTTP/1.1 200 OK\r\n\r\n", "broken"}, ConnectionEnd::Reset});
+        CPPUNIT_ASSERT_MESSAGE(outcome.body, !outcome.error.empty());
+    }
+
     void earlyResponseThatItsCloseEndsIsComplete()
     {
         for (const ConnectionEnd end :
