net: a response with a status that does not exist is refused

Cause: each status below 200 counted as interim, and none was invalid. Change: kindOfHead() knows interim, final and invalid statuses (RFC 9110, section 15); 101 is invalid, as no request asks for another protocol.

--- a/include/endivedock/net/response_reader.h
+++ b/include/endivedock/net/response_reader.h
@@ -72,6 +72,8 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     Task<> parseHead();
+    /** @throws boost::system::system_error if the present head must not be believed */
+    HeadKind checkHead() const;
     /** Decides whether the end of the stream is the end of the body. */
     Task<> confirmClose();
     void throwIfOverdue() const;
--- a/include/endivedock/net/response_rules.h
+++ b/include/endivedock/net/response_rules.h
@@ -1,9 +1,24 @@
 #pragma once
 
+#include <string_view>
+
 #include <boost/system/error_code.hpp>
 
 namespace endivedock {
 
+/** What follows a response head with a certain status. */
+enum class HeadKind {
+    /** Another head: that of a further interim response, or of the final one. */
+    Interim,
+    /** The body, if there is one. */
+    Final,
+    /** Unknown, because the status does not exist, or announces another protocol. */
+    Invalid,
+};
+
+/** @return what follows a head with the three-digit status @p status (RFC 9110, section 15) */
+HeadKind kindOfHead(unsigned status);
+
 /**
  * A body without a length or chunks ends where the peer closes its sending side. After a reset, the
  * system reports the error to one write or read only, and the end of the stream to later reads. So
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/** A status below this belongs to an interim response. */
-constexpr unsigned firstFinalStatus = 200;
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
 /** Bounds what is held of a head, a chunk extension or a trailer. */
 constexpr std::size_t maxBufferBytes = 128 * 1024;
@@ -59,7 +57,7 @@
         m_parser->body_limit(boost::none);
         m_parser->skip(isHeadRequest);
         co_await parseHead();
-    } while (head().result_int() < firstFinalStatus);
+    } while (checkHead() == HeadKind::Interim);
     m_isComplete = m_parser->is_done();
 }
 
@@ -72,6 +70,14 @@
         throw system_error(error);
 }
 
+HeadKind ResponseReader::checkHead() const
+{
+    const HeadKind kind = kindOfHead(head().result_int());
+    if (kind == HeadKind::Invalid)
+        throw system_error(http::error::bad_status);
+    return kind;
+}
+
 Task<std::size_t> ResponseReader::readBody(std::span<char> into)
 {
     std::size_t bytesRead = 0;
--- a/src/net/response_rules.cpp
+++ b/src/net/response_rules.cpp
@@ -4,6 +4,18 @@
 
 namespace endivedock {
 
+HeadKind kindOfHead(unsigned status)
+{
+    constexpr unsigned switchingProtocols = 101;
+    constexpr unsigned firstInterim = 100;
+    constexpr unsigned firstFinal = 200;
+    constexpr unsigned last = 599;
+    // No request asks for another protocol, so what follows such a head is not known.
+    if (status < firstInterim || status > last || status == switchingProtocols)
+        return HeadKind::Invalid;
+    return status < firstFinal ? HeadKind::Interim : HeadKind::Final;
+}
+
 bool isCutOff(const boost::system::error_code &writeError)
 {
     namespace error = boost::asio::error;
--- a/tests/gateway/broken_responses_test.cpp
+++ b/tests/gateway/broken_responses_test.cpp
@@ -182,6 +182,7 @@
     CPPUNIT_TEST(responseCutOffByAResetDuringAnUploadIsNotComplete);
     CPPUNIT_TEST(responseCutOffByAResetDuringABufferedUploadIsNotComplete);
     CPPUNIT_TEST(earlyResponseThatItsCloseEndsIsComplete);
+    CPPUNIT_TEST(invalidStatusIsRefused);
     CPPUNIT_TEST(invalidFieldNameIsRefused);
     CPPUNIT_TEST(responsesOfSoundTargetsAreServed);
     CPPUNIT_TEST_SUITE_END();
@@ -226,6 +227,21 @@
         }
     }
 
+    /** A status below 200 was taken for that of an interim response, and the body for the next
+     * head. */
+    void invalidStatusIsRefused()
+    {
+        const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbroken";
+        for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+            const std::string withBody = "HTTP/1.1 " + status +
+                                         " X\r\nContent-Length: " + std::to_string(inner.size()) +
+                                         "\r\n\r\n" + inner;
+            checkRefused(status, exchange({{withBody}}, getRequest()));
+            const std::string alone = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+            checkRefused(status + " alone", exchange({{alone}}, getRequest()));
+        }
+    }
+
     void invalidFieldNameIsRefused()
     {
         const std::vector<std::string> lines{"Bad Name: x",
--- a/tests/net/response_reader_test.cpp
+++ b/tests/net/response_reader_test.cpp
@@ -61,11 +61,22 @@
 class ResponseReaderTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ResponseReaderTest);
+    CPPUNIT_TEST(statusDecidesWhatFollowsAHead);
     CPPUNIT_TEST(resetBeforeTheCloseCutsOff);
     CPPUNIT_TEST(endOfTheStreamIsNotBelievedWhileAWriteIsInProgress);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void statusDecidesWhatFollowsAHead()
+    {
+        for (const unsigned status : {0u, 1u, 99u, 101u, 600u, 999u})
+            CPPUNIT_ASSERT(kindOfHead(status) == HeadKind::Invalid);
+        for (const unsigned status : {100u, 102u, 103u, 199u})
+            CPPUNIT_ASSERT(kindOfHead(status) == HeadKind::Interim);
+        for (const unsigned status : {200u, 204u, 304u, 404u, 500u, 599u})
+            CPPUNIT_ASSERT(kindOfHead(status) == HeadKind::Final);
+    }
+
     void resetBeforeTheCloseCutsOff()
     {
         CPPUNIT_ASSERT(isCutOff(asio::error::connection_reset));
