net: a response with a folded line in its head is refused

With "Transfer-Encoding: chunked" behind the blank, the caller got the chunk sizes as a part of the body, in a response that looked complete. Cause: the parser accepts obs-fold (RFC 9112, section 5.2), and gives no sign of it. Change: the reader gives the parser the bytes itself and looks for folded lines in what the parser took. The RFC lets a gateway discard such a response. Other blanks and control bytes in names were refused before.

--- a/include/endivedock/net/response_reader.h
+++ b/include/endivedock/net/response_reader.h
@@ -81,6 +81,8 @@
     boost::beast::tcp_stream &m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    /** A line of the present head continues the one before it. */
+    bool m_hasFoldedLine = false;
     bool m_isComplete = false;
     bool m_isWriting = false;
     /** The first error of a write. */
--- a/include/endivedock/net/response_rules.h
+++ b/include/endivedock/net/response_rules.h
@@ -19,6 +19,14 @@
 /** @return what follows a head with the three-digit status @p status (RFC 9110, section 15) */
 HeadKind kindOfHead(unsigned status);
 
+/**
+ * @param head  complete lines of a head as received
+ * @return whether a line continues the one before it (obs-fold). Such a line can hide a field from
+ *         one parser that another parser acts on, so a gateway may discard the response (RFC 9112,
+ *         section 5.2).
+ */
+bool containsFoldedLine(std::string_view head);
+
 /**
  * A body without a length or chunks ends where the peer closes its sending side. After a reset, the
  * system reports the error to one write or read only, and the end of the stream to later reads. So
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -1,6 +1,7 @@
 #include "endivedock/net/response_reader.h"
 
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
 
 namespace endivedock {
@@ -15,6 +16,7 @@
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
 /** Bounds what is held of a head, a chunk extension or a trailer. */
 constexpr std::size_t maxBufferBytes = 128 * 1024;
+constexpr std::size_t maxReadBytes = 64 * 1024;
 
 } // namespace
 
@@ -52,6 +54,7 @@
     m_isComplete = false;
     do {
         throwIfOverdue();
+        m_hasFoldedLine = false;
         m_parser.emplace();
         m_parser->header_limit(maxHeaderBytes);
         m_parser->body_limit(boost::none);
@@ -63,11 +66,29 @@
 
 Task<> ResponseReader::parseHead()
 {
-    error_code error;
-    co_await http::async_read_header(m_stream, m_buffer, *m_parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        throw system_error(error);
+    while (true) {
+        error_code error;
+        const auto received = m_buffer.cdata();
+        const std::size_t parsed = m_parser->put(received, error);
+        // The parser takes whole lines, and a line only together with those that continue it.
+        m_hasFoldedLine |= containsFoldedLine({static_cast<const char *>(received.data()), parsed});
+        m_buffer.consume(parsed);
+        if (error && error != http::error::need_more)
+            throw system_error(error);
+        if (m_parser->is_header_done())
+            co_return;
+        const std::size_t room = beast::read_size(m_buffer, maxReadBytes);
+        if (room == 0)
+            throw system_error(http::error::buffer_overflow);
+        const std::size_t count = co_await m_stream.async_read_some(
+                m_buffer.prepare(room), asio::redirect_error(asio::use_awaitable, error));
+        m_buffer.commit(count);
+        if (error == asio::error::eof)
+            error = m_parser->got_some() ? http::error::partial_message
+                                         : http::error::end_of_stream;
+        if (error)
+            throw system_error(error);
+    }
 }
 
 HeadKind ResponseReader::checkHead() const
@@ -75,6 +96,8 @@
     const HeadKind kind = kindOfHead(head().result_int());
     if (kind == HeadKind::Invalid)
         throw system_error(http::error::bad_status);
+    if (m_hasFoldedLine)
+        throw system_error(http::error::bad_field);
     return kind;
 }
 
--- a/src/net/response_rules.cpp
+++ b/src/net/response_rules.cpp
@@ -16,6 +16,12 @@
     return status < firstFinal ? HeadKind::Interim : HeadKind::Final;
 }
 
+bool containsFoldedLine(std::string_view head)
+{
+    return head.find("\r\n ") != std::string_view::npos ||
+           head.find("\r\n\t") != std::string_view::npos;
+}
+
 bool isCutOff(const boost::system::error_code &writeError)
 {
     namespace error = boost::asio::error;
--- a/tests/gateway/broken_responses_test.cpp
+++ b/tests/gateway/broken_responses_test.cpp
@@ -184,6 +184,7 @@
     CPPUNIT_TEST(earlyResponseThatItsCloseEndsIsComplete);
     CPPUNIT_TEST(invalidStatusIsRefused);
     CPPUNIT_TEST(invalidFieldNameIsRefused);
+    CPPUNIT_TEST(foldedLineIsRefused);
     CPPUNIT_TEST(responsesOfSoundTargetsAreServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -265,6 +266,23 @@
         }
     }
 
+    /**
+     * A line whose name begins with a blank was joined to the line before, and the body it
+     * described was passed on as it came.
+     */
+    void foldedLineIsRefused()
+    {
+        for (const std::string blank : {" ", "\t"}) {
+            const std::string start = "HTTP/1.1 200 OK\r\nName: x\r\n";
+            const std::string rest = blank + "Transfer-Encoding: chunked\r\n\r\n"
+                                             "6\r\nbroken\r\n0\r\n\r\n";
+            checkRefused("folded",
+                         exchange({{start + rest}, ConnectionEnd::CloseSending}, getRequest()));
+            checkRefused("folded, in pieces",
+                         exchange({{start, rest}, ConnectionEnd::CloseSending}, getRequest()));
+        }
+    }
+
     void responsesOfSoundTargetsAreServed()
     {
         const std::string ok = "HTTP/1.1 200 OK\r\n";
--- a/tests/net/response_reader_test.cpp
+++ b/tests/net/response_reader_test.cpp
@@ -62,6 +62,7 @@
 {
     CPPUNIT_TEST_SUITE(ResponseReaderTest);
     CPPUNIT_TEST(statusDecidesWhatFollowsAHead);
+    CPPUNIT_TEST(foldedLinesAreFound);
     CPPUNIT_TEST(resetBeforeTheCloseCutsOff);
     CPPUNIT_TEST(endOfTheStreamIsNotBelievedWhileAWriteIsInProgress);
     CPPUNIT_TEST_SUITE_END();
@@ -77,6 +78,13 @@
             CPPUNIT_ASSERT(kindOfHead(status) == HeadKind::Final);
     }
 
+    void foldedLinesAreFound()
+    {
+        CPPUNIT_ASSERT(containsFoldedLine("A: b\r\n c\r\n\r\n"));
+        CPPUNIT_ASSERT(containsFoldedLine("A: b\r\n\tc: d\r\n\r\n"));
+        CPPUNIT_ASSERT(!containsFoldedLine("A: b \r\nC:  \td\r\n\r\n"));
+    }
+
     void resetBeforeTheCloseCutsOff()
     {
         CPPUNIT_ASSERT(isCutOff(asio::error::connection_reset));
