net: a response with an unsupported transfer coding is refused

What callers saw: of "Transfer-Encoding: gzip, chunked" the gateway removed the field and the chunks and passed on the compressed bytes as the body. An unknown coding without chunks was passed on until the close. Cause: as for the status, what the head says was not checked before it was taken off. Change: only "chunked" and "identity" are accepted. The gateway sends no TE field, so a sound target uses no other coding.

--- a/include/endivedock/net/response_rules.h
+++ b/include/endivedock/net/response_rules.h
@@ -27,6 +27,12 @@
  */
 bool containsFoldedLine(std::string_view head);
 
+/**
+ * @param codings  value of Transfer-Encoding
+ * @return whether the body is received without these codings once its framing is removed
+ */
+bool isTransferCodingSupported(std::string_view codings);
+
 /**
  * A body without a length or chunks ends where the peer closes its sending side. After a reset, the
  * system reports the error to one write or read only, and the end of the stream to later reads. So
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -98,6 +98,11 @@
         throw system_error(http::error::bad_status);
     if (m_hasFoldedLine)
         throw system_error(http::error::bad_field);
+    const auto [begin, end] = head().equal_range(http::field::transfer_encoding);
+    for (auto field = begin; field != end; ++field) {
+        if (!isTransferCodingSupported(field->value()))
+            throw system_error(http::error::bad_transfer_encoding);
+    }
     return kind;
 }
 
--- a/src/net/response_rules.cpp
+++ b/src/net/response_rules.cpp
@@ -1,6 +1,7 @@
 #include "endivedock/net/response_rules.h"
 
 #include <boost/asio/error.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace endivedock {
 
@@ -22,6 +23,11 @@
            head.find("\r\n\t") != std::string_view::npos;
 }
 
+bool isTransferCodingSupported(std::string_view codings)
+{
+    return boost::beast::iequals(codings, "chunked") || boost::beast::iequals(codings, "identity");
+}
+
 bool isCutOff(const boost::system::error_code &writeError)
 {
     namespace error = boost::asio::error;
--- a/tests/gateway/broken_responses_test.cpp
+++ b/tests/gateway/broken_responses_test.cpp
@@ -185,6 +185,7 @@
     CPPUNIT_TEST(invalidStatusIsRefused);
     CPPUNIT_TEST(invalidFieldNameIsRefused);
     CPPUNIT_TEST(foldedLineIsRefused);
+    CPPUNIT_TEST(unsupportedTransferCodingIsRefused);
     CPPUNIT_TEST(responsesOfSoundTargetsAreServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -283,6 +284,17 @@
         }
     }
 
+    /** The coding was taken off the head but not off the body. */
+    void unsupportedTransferCodingIsRefused()
+    {
+        for (const std::string coding :
+             {"gzip, chunked", "gzip", "xchunked", "chunked, chunked", ""})
+            checkRefused(coding, exchange({{"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                                            "\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+                                           ConnectionEnd::CloseSending},
+                                          getRequest()));
+    }
+
     void responsesOfSoundTargetsAreServed()
     {
         const std::string ok = "HTTP/1.1 200 OK\r\n";
--- a/tests/net/response_reader_test.cpp
+++ b/tests/net/response_reader_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST_SUITE(ResponseReaderTest);
     CPPUNIT_TEST(statusDecidesWhatFollowsAHead);
     CPPUNIT_TEST(foldedLinesAreFound);
+    CPPUNIT_TEST(onlyKnownTransferCodingsAreSupported);
     CPPUNIT_TEST(resetBeforeTheCloseCutsOff);
     CPPUNIT_TEST(endOfTheStreamIsNotBelievedWhileAWriteIsInProgress);
     CPPUNIT_TEST_SUITE_END();
@@ -85,6 +86,14 @@
         CPPUNIT_ASSERT(!containsFoldedLine("A: b \r\nC:  \td\r\n\r\n"));
     }
 
+    void onlyKnownTransferCodingsAreSupported()
+    {
+        for (const std::string_view codings : {"chunked", "Chunked", "identity"})
+            CPPUNIT_ASSERT(isTransferCodingSupported(codings));
+        for (const std::string_view codings : {"", "gzip", "gzip, chunked", "chunked, chunked"})
+            CPPUNIT_ASSERT(!isTransferCodingSupported(codings));
+    }
+
     void resetBeforeTheCloseCutsOff()
     {
         CPPUNIT_ASSERT(isCutOff(asio::error::connection_reset));
