net: the client of the store and of admin ports reads responses by the same rules

What callers of HttpClient saw: an interim response was returned as the answer, and the answer that followed it was returned for the next request; so was a second copy of an answer. A status of 000 or 600 and a folded line were accepted. A connection that its close ended was used again, and the request failed. Cause: HttpClient read each response with a parser of its own and kept the connection by the field alone, whatever was left in its buffer or had arrived since. Change: it reads with ResponseReader, and before a request it drops a connection that is closed or has received bytes. A failed write ends the exchange, as before, so no failure is lost there.

--- a/include/endivedock/net/response_reader.h
+++ b/include/endivedock/net/response_reader.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <span>
+#include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -52,6 +53,12 @@
      *         malformed or was cut off
      */
     Task<std::size_t> readBody(std::span<char> into);
+    /**
+     * Reads the whole body.
+     *
+     * @throws boost::system::system_error as readBody(), or if the body exceeds @p maxBytes
+     */
+    Task<std::string> readWholeBody(std::size_t maxBytes);
 
     /** @return the head that readHead() has read */
     const boost::beast::http::response_header<> &head() const { return m_parser->get().base(); }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "endivedock/net/http_client.h"
 
+#include "endivedock/net/response_reader.h"
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr std::uint64_t maxBodyBytes = 64ull << 20;
+constexpr std::size_t streamPieceBytes = 4096;
 
 http::request<http::string_body> makeRequest(const Address &server, const std::string &method,
                                              const std::string &path, std::string body)
@@ -34,6 +37,7 @@
 public:
     explicit Connection(const asio::any_io_executor &executor)
         : m_stream(executor)
+        , m_reader(m_stream)
     {
     }
 
@@ -44,27 +48,31 @@
         enableDeadPeerDetection(m_stream.socket());
     }
 
-    Task<HttpClientResponse> exchange(http::request<http::string_body> &request)
+    /** Sends @p request and reads the head of the response. */
+    Task<> begin(http::request<http::string_body> &request)
     {
+        // If the write fails, the response is not read.
         co_await http::async_write(m_stream, request, asio::use_awaitable);
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxBodyBytes);
-        co_await http::async_read(m_stream, m_buffer, parser, asio::use_awaitable);
-        m_isReusable = parser.get().keep_alive();
-        HttpClientResponse result{parser.get().result_int(), std::move(parser.get().body())};
-        for (const auto &field : parser.get().base())
+        co_await m_reader.readHead(request.method() == http::verb::head);
+    }
+
+    Task<HttpClientResponse> exchange(http::request<http::string_body> &request)
+    {
+        co_await begin(request);
+        HttpClientResponse result;
+        result.status = status();
+        for (const auto &field : m_reader.head())
             result.fields.emplace_back(field.name_string(), field.value());
+        result.body = co_await m_reader.readWholeBody(maxBodyBytes);
         co_return result;
     }
 
-    beast::tcp_stream &stream() { return m_stream; }
-    beast::flat_buffer &buffer() { return m_buffer; }
-    bool isReusable() const { return m_isReusable; }
+    unsigned status() const { return m_reader.head().result_int(); }
+    ResponseReader &reader() { return m_reader; }
 
 private:
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
-    bool m_isReusable = true;
+    ResponseReader m_reader;
 };
 
 HttpClient::HttpClient(asio::any_io_executor executor, Address server)
@@ -85,14 +93,16 @@
         auto request = makeRequest(m_server, method, path, std::move(body));
         for (const auto &[name, value] : fields)
             request.set(name, value);
+        if (connection && connection->reader().isStale())
+            connection.reset();
         const bool isNew = !connection;
         if (isNew)
             connection = std::make_unique<Connection>(m_executor);
-        connection->stream().expires_after(timeout);
+        connection->reader().setDeadline(SteadyClock().now() + timeout);
         if (isNew)
             co_await connection->connect(m_server);
         HttpClientResponse response = co_await connection->exchange(request);
-        if (connection->isReusable())
+        if (connection->reader().mayReadNext())
             m_connection = std::move(connection);
         co_return response;
     } catch (const boost::system::system_error &error) {
@@ -105,28 +115,28 @@
 {
     try {
         Connection connection(m_executor);
-        connection.stream().expires_after(timeout);
+        connection.reader().setDeadline(SteadyClock().now() + timeout);
         co_await connection.connect(m_server);
         auto request = makeRequest(m_server, "POST", path, std::move(body));
-        co_await http::async_write(connection.stream(), request, asio::use_awaitable);
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxBodyBytes);
-        co_await http::async_read_header(connection.stream(), connection.buffer(), parser,
-                                         asio::use_awaitable);
-        std::size_t consumed = 0;
+        co_await connection.begin(request);
+        std::string text;
+        std::array<char, streamPieceBytes> piece{};
         while (true) {
-            const std::string &text = parser.get().body();
-            for (std::size_t end = text.find('\n', consumed); end != std::string::npos;
+            const std::size_t count = co_await connection.reader().readBody(piece);
+            if (count == 0)
+                throw HttpError(formatAddress(m_server) + ": the server ended the stream");
+            text.append(piece.data(), count);
+            std::size_t consumed = 0;
+            for (std::size_t end = text.find('\n'); end != std::string::npos;
                  end = text.find('\n', consumed)) {
                 const std::string_view line(text.data() + consumed, end - consumed);
                 consumed = end + 1;
                 if (!line.empty() && !onLine(line))
                     co_return;
             }
-            if (parser.is_done())
-                throw HttpError(formatAddress(m_server) + ": the server ended the stream");
-            co_await http::async_read_some(connection.stream(), connection.buffer(), parser,
-                                           asio::use_awaitable);
+            text.erase(0, consumed);
+            if (text.size() > maxBodyBytes)
+                throw HttpError(formatAddress(m_server) + ": a line of the stream is too long");
         }
     } catch (const boost::system::system_error &error) {
         throw HttpError(formatAddress(m_server) + ": " + error.code().message());
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -1,5 +1,7 @@
 #include "endivedock/net/response_reader.h"
 
+#include <algorithm>
+
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
@@ -16,6 +18,7 @@
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
 /** Bounds what is held of a head, a chunk extension or a trailer. */
 constexpr std::size_t maxBufferBytes = 128 * 1024;
+constexpr std::size_t minReadBytes = 512;
 constexpr std::size_t maxReadBytes = 64 * 1024;
 
 } // namespace
@@ -129,6 +132,24 @@
     co_return bytesRead;
 }
 
+Task<std::string> ResponseReader::readWholeBody(std::size_t maxBytes)
+{
+    if (contentLength().value_or(0) > maxBytes)
+        throw system_error(http::error::body_limit);
+    std::string body;
+    std::size_t filled = 0;
+    while (!m_isComplete) {
+        // The body grows as data arrives, so that a false length costs no memory.
+        const std::uint64_t rest = contentLength() ? *contentLength() - filled : maxReadBytes;
+        body.resize(filled + std::clamp<std::uint64_t>(rest, minReadBytes, maxReadBytes));
+        filled += co_await readBody({body.data() + filled, body.size() - filled});
+        if (filled > maxBytes)
+            throw system_error(http::error::body_limit);
+    }
+    body.resize(filled);
+    co_return body;
+}
+
 Task<> ResponseReader::confirmClose()
 {
     if (m_isWriting) {
