net: lines of an error response are not taken for those of a stream

What callers saw: HttpClient::streamLines passed on the lines of any response, also of a 500, as messages of a watch of the store. Cause: the status was not looked at.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t maxBodyBytes = 64ull << 20;
 constexpr std::size_t streamPieceBytes = 4096;
+constexpr unsigned okStatus = 200;
 
 http::request<http::string_body> makeRequest(const Address &server, const std::string &method,
                                              const std::string &path, std::string body)
@@ -119,6 +120,10 @@
         co_await connection.connect(m_server);
         auto request = makeRequest(m_server, "POST", path, std::move(body));
         co_await connection.begin(request);
+        if (connection.status() != okStatus)
+            throw HttpError(formatAddress(m_server) +
+                            ": the server answered a stream with status " +
+                            std::to_string(connection.status()));
         std::string text;
         std::array<char, streamPieceBytes> piece{};
         while (true) {
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(surplusResponseAnswersNoLaterRequest);
     CPPUNIT_TEST(brokenResponsesAreErrors);
     CPPUNIT_TEST(soundResponsesAreAccepted);
+    CPPUNIT_TEST(linesOfErrorResponsesAreNotPassedOn);
     CPPUNIT_TEST(streamedLinesArePassedOn);
     CPPUNIT_TEST_SUITE_END();
 
@@ -156,6 +157,12 @@
                                {{ok + "\r\n" + large}, ConnectionEnd::CloseSending}}));
     }
 
+    void linesOfErrorResponsesAreNotPassedOn()
+    {
+        checkResults("error|", streamLines({{withBody("500 X", "one\nlast\n")}}));
+        checkResults("error|", streamLines({{withBody("000 X", "one\nlast\n")}}));
+    }
+
     void streamedLinesArePassedOn()
     {
         const std::string ok = "HTTP/1.1 200 OK\r\n";
