tools: the load generator reads responses by the same rules

What its users saw: an interim response counted as a failed request, and the answer that followed it as a wrong answer to the next request; so did a second copy of an answer. Cause: a third parser of responses, and connections that were kept with unread bytes. Change: it reads with ResponseReader.

--- a/tools/load_generator.cpp
+++ b/tools/load_generator.cpp
@@ -5,6 +5,7 @@
 
 #include "endivedock/json.h"
 #include "endivedock/net.h"
+#include "endivedock/net/response_reader.h"
 
 #include <algorithm>
 #include <fstream>
@@ -87,10 +88,11 @@
 {
     explicit Connection(const asio::any_io_executor &executor)
         : stream(executor)
+        , reader(stream)
     {
     }
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    ResponseReader reader;
 };
 
 /** Outcome of sending a request once. */
@@ -181,76 +183,59 @@
             request.body() = number + std::string(spec.bodyBytes, 'x');
         request.prepare_payload();
 
-        std::unique_ptr<Connection> connection;
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(boost::none);
-        boost::system::error_code error;
         bool isHeaderRead = false;
-        connection = co_await connect(host, error);
-        if (!error) {
-            connection->stream.expires_after(requestTimeout);
-            co_await http::async_write(connection->stream, request,
-                                       asio::redirect_error(asio::use_awaitable, error));
-        }
-        if (!error) {
-            co_await http::async_read_header(connection->stream, connection->buffer, parser,
-                                             asio::redirect_error(asio::use_awaitable, error));
-            isHeaderRead = !error;
-        }
-        if (!error)
-            co_await http::async_read(connection->stream, connection->buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            ++result.failures[error.message()];
-            co_return isHeaderRead ? TransmissionOutcome::Truncated : TransmissionOutcome::Failed;
+        try {
+            std::unique_ptr<Connection> connection = co_await connect(host);
+            connection->reader.setDeadline(SteadyClock().now() + requestTimeout);
+            co_await http::async_write(connection->stream, request, asio::use_awaitable);
+            co_await connection->reader.readHead(spec.method == "HEAD");
+            isHeaderRead = true;
+            const std::string body = co_await connection->reader.readWholeBody(SIZE_MAX);
+            const TransmissionOutcome outcome =
+                    checkResponse(connection->reader.head(), body, number, result);
+            if (connection->reader.mayReadNext())
+                m_idleConnections[host].push_back(std::move(connection));
+            co_return outcome;
+        } catch (const boost::system::system_error &error) {
+            ++result.failures[error.code().message()];
         }
-        const auto response = parser.release();
-        if (response.keep_alive())
-            m_idleConnections[host].push_back(std::move(connection));
-        co_return checkResponse(response, number, result);
+        co_return isHeaderRead ? TransmissionOutcome::Truncated : TransmissionOutcome::Failed;
     }
 
-    Task<std::unique_ptr<Connection>> connect(const Address &host, boost::system::error_code &error)
+    /** @return an idle connection to @p host, or else a new one */
+    Task<std::unique_ptr<Connection>> connect(const Address &host)
     {
         auto &idleConnections = m_idleConnections[host];
         while (!idleConnections.empty()) {
             auto connection = std::move(idleConnections.back());
             idleConnections.pop_back();
-            // If the host has closed the connection, this read reports the end of the stream. On an
-            // open connection without data it would block.
-            char byte = 0;
-            boost::system::error_code peekError;
-            connection->stream.socket().non_blocking(true, peekError);
-            connection->stream.socket().receive(asio::buffer(&byte, 1),
-                                                asio::socket_base::message_peek, peekError);
-            if (peekError == asio::error::would_block)
+            if (!connection->reader.isStale())
                 co_return connection;
         }
         auto connection = std::make_unique<Connection>(m_executor);
         connection->stream.expires_after(requestTimeout);
-        co_await connection->stream.async_connect(tcpEndpoint(host),
-                                                  asio::redirect_error(asio::use_awaitable, error));
-        if (!error)
-            connection->stream.socket().set_option(asio::ip::tcp::no_delay(true));
+        co_await connection->stream.async_connect(tcpEndpoint(host), asio::use_awaitable);
+        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true));
         co_return connection;
     }
 
-    static TransmissionOutcome checkResponse(const http::response<http::string_body> &response,
-                                             const std::string &number, Result &result)
+    static TransmissionOutcome checkResponse(const http::response_header<> &head,
+                                             const std::string &text, const std::string &number,
+                                             Result &result)
     {
-        if (response[http::field::content_type] == "application/problem+json") {
-            const auto problem = parseJson(response.body(), "problem");
+        if (head[http::field::content_type] == "application/problem+json") {
+            const auto problem = parseJson(text, "problem");
             const JsonNode node(problem, "problem");
             const std::string run = node.string("run");
             ++result.refusals[node.string("reason") + "/" + run];
             return run == "not-run" ? TransmissionOutcome::RefusedNotRun
                                     : TransmissionOutcome::RefusedMayHaveRun;
         }
-        if (response.result_int() != 200) {
-            ++result.failures["status " + std::to_string(response.result_int())];
+        if (head.result_int() != 200) {
+            ++result.failures["status " + std::to_string(head.result_int())];
             return TransmissionOutcome::Failed;
         }
-        const auto body = parseJson(response.body(), "answer");
+        const auto body = parseJson(text, "answer");
         return JsonNode(body, "answer").stringOr("echo", "") == number
                        ? TransmissionOutcome::Answered
                        : TransmissionOutcome::Wrong;
