tools: an answer without valid JSON counts as wrong

What users of the load generator saw: such an answer was in none of its counts, so a run with some of them could end as a success. Cause: the exception ended the request's task, and nobody counted it. Change: it is a wrong answer.

--- a/tests/faulty_targets/load_generator_answers.py
+++ b/tests/faulty_targets/load_generator_answers.py
@@ -28,6 +28,7 @@
     "status_000": (lambda echo: answer(echo, "000"), "failed"),
     "folded": (lambda echo: answer(echo).replace(b"X\r\n", b"X\r\nName: x\r\n y\r\n", 1), "failed"),
     "cut_off": (lambda echo: answer(echo)[:-3], "truncated"),
+    "no_json": (lambda echo: answer(echo).replace(b"{", b"["), "wrongAnswers"),
 }
 CLOSED_KINDS = ("until_close", "cut_off")
 COUNTS = ("answered", "refused", "failed", "wrongAnswers", "truncated")
--- a/tools/load_generator.cpp
+++ b/tools/load_generator.cpp
@@ -198,6 +198,9 @@
             co_return outcome;
         } catch (const boost::system::system_error &error) {
             ++result.failures[error.code().message()];
+        } catch (const JsonError &error) {
+            ++result.failures[error.what()];
+            co_return TransmissionOutcome::Wrong;
         }
         co_return isHeaderRead ? TransmissionOutcome::Truncated : TransmissionOutcome::Failed;
     }
