gateway: a refusal by a target is believed only when it is complete

What callers saw: a response with "Request-Not-Run" that was longer than the gateway buffers was believed before its end. If it was then cut off, the caller was told that the request was not run, and a request that is not idempotent could be sent to another target. Cause: the head alone decided once the buffer was full. Measured: refusalThatIsCutOffDoesNotProveThatNothingRan failed before (503, "not-run") and passes.

--- a/include/endivedock/gateway/attempt_runner-inl.h
+++ b/include/endivedock/gateway/attempt_runner-inl.h
@@ -232,6 +232,9 @@
     }
     AttemptResult result;
     if (targetReport.notRun) {
+        // A response that is cut off proves nothing.
+        while (!target.isResponseComplete())
+            co_await target.readBody(body);
         result.outcome = targetReport.isDraining ? AttemptOutcome::Draining : AttemptOutcome::Shed;
         co_return result;
     }
--- a/tests/gateway/broken_responses_test.cpp
+++ b/tests/gateway/broken_responses_test.cpp
@@ -186,6 +186,7 @@
     CPPUNIT_TEST(invalidFieldNameIsRefused);
     CPPUNIT_TEST(foldedLineIsRefused);
     CPPUNIT_TEST(unsupportedTransferCodingIsRefused);
+    CPPUNIT_TEST(refusalThatIsCutOffDoesNotProveThatNothingRan);
     CPPUNIT_TEST(responsesOfSoundTargetsAreServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -295,6 +296,20 @@
                                           getRequest()));
     }
 
+    /** A refusal that was longer than the gateway buffers was believed before its end. */
+    void refusalThatIsCutOffDoesNotProveThatNothingRan()
+    {
+        const std::string refusal = "HTTP/1.1 503 X\r\nRequest-Not-Run: true\r\n";
+        const std::string longRefusal = refusal + "Content-Length: 600000\r\n\r\n";
+        const std::string start(550'000, 'x');
+        checkRefused("long",
+                     exchange({{longRefusal, start}, ConnectionEnd::CloseSending}, getRequest()));
+        const Exchange whole =
+                exchange({{longRefusal, start, std::string(50'000, 'x')}}, getRequest());
+        CPPUNIT_ASSERT_MESSAGE(whole.received, whole.received.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(whole.received.find("\"not-run\"") != std::string::npos);
+    }
+
     void responsesOfSoundTargetsAreServed()
     {
         const std::string ok = "HTTP/1.1 200 OK\r\n";
