peers: a test that frames which are cut off are no responses

Change: a test only. One task writes a request and reads its response, and each failure ends the exchange; a frame states its length, which is checked, and is sealed.

--- a/tests/peers/peer_stream_test.cpp
+++ b/tests/peers/peer_stream_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <sstream>
 #include <vector>
 
@@ -47,6 +48,7 @@
     CPPUNIT_TEST_SUITE(PeerStreamTest);
     CPPUNIT_TEST(slowTransfersComplete);
     CPPUNIT_TEST(silentHostsAreGivenUp);
+    CPPUNIT_TEST(brokenResponsesAreErrors);
     CPPUNIT_TEST(requestsBeyondTheTransferLimitAreClosed);
     CPPUNIT_TEST(unsentBytesCountTowardsTheTransferLimit);
     CPPUNIT_TEST_SUITE_END();
@@ -78,6 +80,29 @@
         CPPUNIT_ASSERT(SteadyClock().now() - startedAt < exchangeStallTimeout * 2);
     }
 
+    /** Frames that the end of their connection cuts off, and frames that no host has sealed. */
+    void brokenResponsesAreErrors()
+    {
+        start("");
+        const std::string length("\0\0\0\x20", 4);
+        const std::vector<std::string> responses{"",
+                                                 length.substr(0, 2),
+                                                 length,
+                                                 length + std::string(31, 'x'),
+                                                 length + std::string(32, 'x'),
+                                                 std::string(4, '\0'),
+                                                 std::string(4, '\xff')};
+        for (const bool isReset : {false, true}) {
+            for (const auto &text : responses) {
+                asio::ip::tcp::acceptor server(m_context, tcpEndpoint(anyLoopbackAddress));
+                startTask(m_context.get_executor(), "server", respond(server, text, isReset));
+                std::string response;
+                CPPUNIT_ASSERT_THROW(runTask(m_context, requestInto(portOf(server), response)),
+                                     PeerError);
+            }
+        }
+    }
+
     /** Guards against responses to all hosts at once that exceed the memory and the link. */
     void requestsBeyondTheTransferLimitAreClosed()
     {
@@ -158,6 +183,17 @@
         co_await writeFrame(socket, m_sealer.seal(TextCodec::encode(header, "all")), timer);
     }
 
+    /** Sends @p response to one request, then closes or resets the connection. */
+    static Task<> respond(asio::ip::tcp::acceptor &acceptor, std::string response, bool isReset)
+    {
+        asio::ip::tcp::socket client = co_await acceptor.async_accept(asio::use_awaitable);
+        std::array<char, 4096> request{};
+        co_await client.async_read_some(asio::buffer(request), asio::use_awaitable);
+        co_await asio::async_write(client, asio::buffer(response), asio::use_awaitable);
+        client.set_option(asio::socket_base::linger(isReset, 0));
+        client.close();
+    }
+
     static Task<> waitFor(Milliseconds time) { co_await sleepFor(time); }
 
     /** Relays one exchange to the server; the response in steps of @p bytes after @p interval. */
