control: the page of a failed request for the fleet is not read

What operators saw: endivedockctl took the body of any response for the state of the fleet, also that of a 503 by a host that does not know it. Cause: the status was not looked at. Measured: ControlTest::pageOfAFailedRequestIsNotRead failed before and passes.

--- a/include/endivedock/control/fleet.h
+++ b/include/endivedock/control/fleet.h
@@ -24,7 +24,7 @@
 /**
  * Reads the page /fleet of one entry host.
  *
- * @throws HttpError if @p admin does not answer
+ * @throws HttpError if @p admin does not answer with status 200
  * @throws JsonError if the page is malformed
  */
 Task<std::vector<FleetMember>> readFleet(asio::any_io_executor executor, Address admin);
--- a/src/control/fleet.cpp
+++ b/src/control/fleet.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Milliseconds fleetRequestTimeout{2000};
+constexpr unsigned okStatus = 200;
 constexpr IntegerRange nonNegativeRange{0, INT64_MAX};
 
 FleetMember parseMember(const JsonNode &node)
@@ -27,6 +28,9 @@
     HttpClient client(executor, admin);
     const HttpClientResponse reply =
             co_await client.request("GET", "/fleet", "", fleetRequestTimeout);
+    if (reply.status != okStatus)
+        throw HttpError(formatAddress(admin) + ": /fleet was answered with status " +
+                        std::to_string(reply.status));
     const std::string document = formatAddress(admin) + "/fleet";
     const auto value = parseJson(reply.body, document);
     std::vector<FleetMember> fleet;
--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -1,8 +1,12 @@
 #include "endivedock/control.h"
 
+#include "../net_support.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace endivedock;
+using endivedock::testing::anyLoopbackAddress;
+using endivedock::testing::runTask;
 
 namespace {
 
@@ -24,6 +28,7 @@
     CPPUNIT_TEST(diffComparesJsonValues);
     CPPUNIT_TEST(changeIsValidatedAsAWhole);
     CPPUNIT_TEST(unresponsiveHostsCountAsLagging);
+    CPPUNIT_TEST(pageOfAFailedRequestIsNotRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +50,29 @@
         CPPUNIT_ASSERT_THROW(validateChange(empty, {desired().back()}), ChangeError);
     }
 
+    void pageOfAFailedRequestIsNotRead()
+    {
+        for (const unsigned status : {200u, 503u}) {
+            asio::io_context context;
+            HttpServer admin(
+                    context.get_executor(), anyLoopbackAddress,
+                    [status](HttpServerRequest) -> Task<HttpServerResponse> {
+                        co_return HttpServerResponse{status, "application/json", R"({"hosts":[]})"};
+                    });
+            std::string error;
+            runTask(context,
+                    [](asio::any_io_executor executor, Address address,
+                       std::string &result) -> Task<> {
+                        try {
+                            co_await readFleet(executor, address);
+                        } catch (const HttpError &caught) {
+                            result = caught.what();
+                        }
+                    }(context.get_executor(), admin.localAddress(), error));
+            CPPUNIT_ASSERT_EQUAL(status == 200, error.empty());
+        }
+    }
+
     void unresponsiveHostsCountAsLagging()
     {
         const std::vector<FleetMember> fleet{
