--- a/include/endivedock/gateway/target_connection.h
+++ b/include/endivedock/gateway/target_connection.h
@@ -60,12 +60,13 @@
     void sendBodyInBackground(std::shared_ptr<const void> owner, std::span<const char> body);
     /**
      * @return the header of the final response; interim responses (1xx) are skipped
-     * @throws TargetError if the connection failed or timed out
+     * @throws TargetError if the connection failed or timed out, or the header is invalid
      */
     Task<ResponseHead> readHead();
     /**
      * @return number of bytes read; 0 at the end of a complete body
-     * @throws TargetError if the connection failed or timed out
+     * @throws TargetError if the connection failed or timed out, or the body is malformed or was
+     *         cut off
      */
     Task<std::size_t> readBody(std::span<char> into);
 
--- a/include/endivedock/net.h
+++ b/include/endivedock/net.h
@@ -3,6 +3,9 @@
 /**
  * Public header of the net library: tasks, timers, and an HTTP client and server. HTTP bodies are
  * small here and are held in memory; the gateway has connections of its own that stream bodies.
+ *
+ * Clients that read responses themselves also include endivedock/net/response_reader.h, which is
+ * left out here because it includes Beast.
  */
 
 #include "endivedock/net/http_client.h"
--- a/include/endivedock/net/http_client.h
+++ b/include/endivedock/net/http_client.h
@@ -55,8 +55,8 @@
      * @p onLine line by line.
      *
      * @param onLine  called with each line that is not empty; returns false to stop
-     * @throws HttpError if the stream failed, ended or exceeded @p timeout before @p onLine
-     *         returned false
+     * @throws HttpError if the status is not 200, or the stream failed, ended or exceeded
+     *         @p timeout before @p onLine returned false
      */
     Task<> streamLines(std::string path, std::string body, Milliseconds timeout,
                        std::function<bool(std::string_view)> onLine);
--- a/include/endivedock/placement/messages.h
+++ b/include/endivedock/placement/messages.h
@@ -151,7 +151,10 @@
     /** As Shed, and the target stated that it is shutting down. */
     Draining,
     ConnectFailed,
-    /** The connection was lost after the request may have started to run. */
+    /**
+     * The connection was lost after the request may have started to run, or the target sent a
+     * broken response.
+     */
     ConnectionLost,
     TimedOut,
     /** The caller disconnected, or the requesting host no longer needed the response. */
--- a/src/gateway/target_connection.cpp
+++ b/src/gateway/target_connection.cpp
@@ -85,7 +85,11 @@
         m_request->body().data = nullptr;
         m_request->body().more = true;
         m_serializer.emplace(*m_request);
-        co_await write(true);
+        boost::system::error_code error;
+        m_reader.beginWrite();
+        co_await http::async_write_header(m_stream, *m_serializer,
+                                          asio::redirect_error(asio::use_awaitable, error));
+        endWrite(error);
     }
 
     Task<> sendBody(std::span<const char> piece)
@@ -93,7 +97,7 @@
         m_request->body().data = const_cast<char *>(piece.data());
         m_request->body().size = piece.size();
         m_request->body().more = true;
-        co_await write(false);
+        co_await writePiece();
     }
 
     Task<> endRequest()
@@ -102,7 +106,7 @@
         m_request->body().size = 0;
         m_request->body().more = false;
         if (m_hasBody)
-            co_await write(false);
+            co_await writePiece();
         m_isRequestSent = true;
     }
 
@@ -127,19 +131,18 @@
         }
     }
 
-    Task<> write(bool headerOnly)
+    Task<> writePiece()
     {
         boost::system::error_code error;
         m_reader.beginWrite();
-        if (headerOnly)
-            co_await http::async_write_header(m_stream, *m_serializer,
-                                              asio::redirect_error(asio::use_awaitable, error));
-        else
-            co_await http::async_write(m_stream, *m_serializer,
-                                       asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_write(m_stream, *m_serializer,
+                                   asio::redirect_error(asio::use_awaitable, error));
         // need_buffer reports that the present piece has been written.
-        if (error == http::error::need_buffer)
-            error = {};
+        endWrite(error == http::error::need_buffer ? boost::system::error_code() : error);
+    }
+
+    void endWrite(const boost::system::error_code &error)
+    {
         m_reader.endWrite(error);
         if (error)
             throw targetError(error);
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -153,13 +153,14 @@
 Task<> ResponseReader::confirmClose()
 {
     if (m_isWriting) {
-        // The response needs no more of the request. A write that has met a reset reports it now.
+        // The response has ended, so the rest of the request is not needed. Closing the connection
+        // ends the write, which reports a reset if it has met one.
         m_stream.close();
         while (m_isWriting)
             co_await m_writeEnded.wait(TimePoint::max());
     }
     if (isCutOff(m_writeError))
-        throw system_error(http::error::partial_message);
+        throw system_error(m_writeError);
 }
 
 std::optional<std::uint64_t> ResponseReader::contentLength() const
