--- a/include/endivedock/net/response_reader.h
+++ b/include/endivedock/net/response_reader.h
@@ -17,8 +17,8 @@
 
 /**
  * Reads the responses on an HTTP/1.1 connection and decides which heads are valid and which bodies
- * are complete. All clients read through this class, so that none believes a response that another
- * one refuses.
+ * are complete. All clients read through this class, so that none accepts a response that another
+ * one rejects.
  *
  * One task reads while another one may write. A client that reads on after a failed write encloses
  * its writes in beginWrite() and endWrite(), because the write may have taken the only evidence
@@ -79,7 +79,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     Task<> parseHead();
-    /** @throws boost::system::system_error if the present head must not be believed */
+    /** @throws boost::system::system_error if the present head is invalid */
     HeadKind checkHead() const;
     /** Decides whether the end of the stream is the end of the body. */
     Task<> confirmClose();
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -133,6 +133,11 @@
                 {{withBody("200 OK\r\nNa\x01me: x", "x")}},
                 {{withBody("200 OK\r\nName: x\r\n Folded: x", "x")}},
                 {{ok + "Transfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"}},
+                {{"HTTP/1.1 103 X\r\nBad Name: x\r\n\r\n" + withBody("200 OK", "x")}},
+                {{"HTTP/1.1 103 X\r\nName: x\r\n Folded: x\r\n\r\n" + withBody("200 OK", "x")}},
+                {{ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nBad Name: x\r\n\r\n"}},
+                {{ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nName: x\r\n"},
+                 ConnectionEnd::CloseSending},
                 {{ok + "Content-Length: 4\r\n\r\n", "x"}, ConnectionEnd::CloseSending},
                 {{ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"},
                  ConnectionEnd::CloseSending},
@@ -147,13 +152,15 @@
     {
         const std::string ok = "HTTP/1.1 200 OK\r\n";
         const std::string large(300'000, 'x');
-        checkResults("200 body|204 |200 body|200 body|200 |404 gone|",
-                     exchange({{{ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}},
-                               {{"HTTP/1.1 204 No Content\r\n\r\n"}},
-                               {{ok + "\r\n", "bo", "dy"}, ConnectionEnd::CloseSending},
-                               {{"HTTP/1.0 200 OK\r\n\r\nbody"}, ConnectionEnd::CloseSending},
-                               {{withBody("200 OK", "")}},
-                               {{withBody("404 Not Found", "gone")}}}));
+        checkResults(
+                "200 body|204 |200 body|200 body|200 |404 gone|",
+                exchange({{{ok +
+                            "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nName: x\r\n\r\n"}},
+                          {{"HTTP/1.1 204 No Content\r\n\r\n"}},
+                          {{ok + "\r\n", "bo", "dy"}, ConnectionEnd::CloseSending},
+                          {{"HTTP/1.0 200 OK\r\n\r\nbody"}, ConnectionEnd::CloseSending},
+                          {{withBody("200 OK", "")}},
+                          {{withBody("404 Not Found", "gone")}}}));
         checkResults("200 " + large + "|200 " + large + "|",
                      exchange({{{withBody("200 OK", large)}},
                                {{ok + "\r\n" + large}, ConnectionEnd::CloseSending}}));
--- a/tests/net/response_reader_test.cpp
+++ b/tests/net/response_reader_test.cpp
@@ -65,7 +65,7 @@
     CPPUNIT_TEST(foldedLinesAreFound);
     CPPUNIT_TEST(onlyKnownTransferCodingsAreSupported);
     CPPUNIT_TEST(resetBeforeTheCloseCutsOff);
-    CPPUNIT_TEST(endOfTheStreamIsNotBelievedWhileAWriteIsInProgress);
+    CPPUNIT_TEST(endOfTheStreamIsNotAcceptedWhileAWriteIsInProgress);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,7 +104,7 @@
     }
 
     /** The order in which two tasks learn of a reset is not defined. */
-    void endOfTheStreamIsNotBelievedWhileAWriteIsInProgress()
+    void endOfTheStreamIsNotAcceptedWhileAWriteIsInProgress()
     {
         CPPUNIT_ASSERT(!readUntilClose(asio::error::connection_reset));
         CPPUNIT_ASSERT(readUntilClose(asio::error::broken_pipe) == "body");
